--- /dev/null
+++ b/crates/agent/src/decider.rs
@@ -0,0 +1,94 @@
+//! The thread that owns the agent's state and carries out its decisions.
+
+use std::time::Duration;
+
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use ibisspool_core::agent::{Action, Agent, Event};
+use ibisspool_kernel::clock::Clock;
+
+use crate::links::Links;
+use crate::metrics::Metrics;
+use crate::runner::{Runner, Start};
+
+/// Time between ticks.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Everything that decisions act upon.
+#[derive(Debug)]
+pub struct Decider {
+    /// The state.
+    pub agent: Agent,
+    /// The clocks.
+    pub clock: Clock,
+    /// Edge to the entries.
+    pub links: Links,
+    /// The runner threads.
+    pub runner: Runner,
+    /// Mailbox of the runner threads.
+    pub starts: Sender<Start>,
+    /// Metrics of the agent.
+    pub metrics: Metrics,
+}
+
+impl Decider {
+    /// Decides until the agent is drained after a stop, or every sender is gone.
+    pub fn run(mut self, events: &Receiver<Event>) {
+        let mut next_tick = self.clock.mono();
+        let mut stopping = false;
+        loop {
+            let rest = next_tick.since(self.clock.mono());
+            let event = match events.recv_timeout(rest) {
+                Ok(event) => event,
+                Err(RecvTimeoutError::Timeout) => {
+                    next_tick = self.clock.mono().plus(TICK);
+                    Event::Tick
+                }
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            stopping |= matches!(event, Event::Stop);
+            self.step(event);
+            if stopping && self.agent.is_drained() {
+                return;
+            }
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        if let Event::Announced { slots, .. } = &event {
+            self.runner.grow(*slots);
+        }
+        let now = self.clock.now();
+        let mut actions = Vec::new();
+        self.agent.handle(event, now, &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&self, action: Action) {
+        match action {
+            Action::Report { link, report } => {
+                for outcome in &report.outcomes {
+                    self.metrics.count(&outcome.end);
+                }
+                self.links.report(link, report);
+            }
+            Action::Start {
+                task,
+                kind,
+                input,
+                timeout_ms,
+            } => {
+                let timeout = Duration::from_millis(timeout_ms);
+                let _ended = self.starts.send(Start {
+                    task,
+                    kind,
+                    input,
+                    timeout,
+                });
+            }
+            Action::Attach { entries } => self.links.attach(entries),
+            Action::ForeignOrder => self.metrics.foreign.inc(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/main.rs
@@ -0,0 +1,5 @@
+//! Starts an agent.
+
+fn main() {
+    std::process::exit(ibisspool_agent::cli::run(std::env::args_os()));
+}
--- /dev/null
+++ b/crates/agent/src/serve.rs
@@ -0,0 +1,129 @@
+//! Runs an agent: starts the parts, waits for the stop, finishes what it holds.
+
+use std::net::SocketAddr;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use anyhow::{Context as _, Result};
+use crossbeam::channel::Sender;
+use ibisspool_core::agent::{Agent, Event};
+use ibisspool_kernel::clock::Clock;
+use ibisspool_kernel::part::{Kernel, Name};
+use ibisspool_kernel::{http, signal};
+use tokio::runtime::{Builder, Runtime};
+
+use crate::announce::{self, Context, Target};
+use crate::decider::Decider;
+use crate::links::Links;
+use crate::metrics::Metrics;
+use crate::runner::{Runner, Start};
+use crate::settings::Settings;
+
+/// Time for the last reports to leave after the agent is drained.
+const LINGER: Duration = Duration::from_millis(200);
+
+/// A running agent.
+#[derive(Debug)]
+pub struct Running {
+    /// Address for the backend server.
+    pub address: SocketAddr,
+    events: Sender<Event>,
+    decider: JoinHandle<()>,
+    runtime: Runtime,
+}
+
+impl Running {
+    /// Returns a closure that asks for a planned stop.
+    pub fn stopper(&self) -> impl FnOnce() + Send + 'static {
+        let events = self.events.clone();
+        move || {
+            let _ended = events.send(Event::Stop);
+        }
+    }
+
+    /// Waits until the agent has stopped and everything it held is finished.
+    pub fn wait(self) {
+        let _panicked = self.decider.join();
+        std::thread::sleep(LINGER);
+        self.runtime.shutdown_background();
+    }
+}
+
+/// Runs an agent until a signal stops it.
+///
+/// # Errors
+/// Fails if the agent cannot start.
+pub fn run(settings: &Settings) -> Result<()> {
+    let name = &settings.name;
+    let running = start(settings)?;
+    log::info!(
+        "serve: Agent {name} listens on {} for its backend server.",
+        running.address
+    );
+    signal::on_stop(running.stopper())?;
+    running.wait();
+    log::info!("serve: Agent {name} has stopped.");
+    Ok(())
+}
+
+/// Starts an agent.
+///
+/// # Errors
+/// Fails if the address cannot be listened on.
+pub fn start(settings: &Settings) -> Result<Running> {
+    let kernel = Kernel::new();
+    let clock = Clock::new();
+    let metrics = Metrics::new();
+    let target = Target::default();
+    let incarnation = rand::random::<u64>();
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(1)
+        .thread_name("links")
+        .enable_all()
+        .build()
+        .context("cannot start the runtime of the links")?;
+
+    let mailbox = kernel.register::<Event>(Name::Decider);
+    let events = kernel.find::<Event>(Name::Decider)?;
+    let starts = kernel.register::<Start>(Name::Runner);
+    let handle = runtime.handle().clone();
+    let links = Links::new(handle, events.clone(), metrics.clone(), &settings.entries);
+    links.attach(Vec::new());
+
+    let decider = Decider {
+        agent: Agent::new(
+            &settings.name,
+            &settings.data_centre,
+            incarnation,
+            settings.timing,
+        ),
+        clock,
+        links,
+        runner: Runner::new(
+            &kernel,
+            starts,
+            events.clone(),
+            target.clone(),
+            metrics.clone(),
+        ),
+        starts: kernel.find(Name::Runner)?,
+        metrics: metrics.clone(),
+    };
+    let decider = kernel.spawn(Name::Decider, move || decider.run(&mailbox));
+
+    let context = Context {
+        events: events.clone(),
+        target,
+        metrics,
+        max_slots: settings.max_slots,
+    };
+    let address = http::serve(&kernel, settings.listen, move |request| {
+        announce::handle(&context, request);
+    })?;
+    Ok(Running {
+        address,
+        events,
+        decider,
+        runtime,
+    })
+}
--- /dev/null
+++ b/crates/agent/src/settings.rs
@@ -0,0 +1,128 @@
+//! Settings of an agent with their defaults.
+
+use std::net::SocketAddr;
+
+use clap::{ArgMatches, Command};
+use ibisspool_core::settings::Timing;
+use ibisspool_kernel::log::Format;
+use ibisspool_kernel::settings::{Error, flag, read, read_name, read_within};
+
+const MILLIS_PER_DAY: u64 = 86_400_000;
+
+/// Checked settings of an agent.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of the agent and of its backend server, unique in the region.
+    pub name: String,
+    /// Data centre of the agent.
+    pub data_centre: String,
+    /// Address for the backend server and metrics.
+    pub listen: SocketAddr,
+    /// Addresses of some entries; the others are learnt from them.
+    pub entries: Vec<String>,
+    /// Form of the log lines.
+    pub log_format: Format,
+    /// Least level of the log lines, or a filter.
+    pub log_level: String,
+    /// Most slots that a backend server may announce.
+    pub max_slots: u32,
+    /// Shared durations.
+    pub timing: Timing,
+}
+
+impl Settings {
+    /// Makes settings for an agent with the defaults for the rest.
+    pub fn new(name: &str, data_centre: &str, entries: Vec<String>) -> Self {
+        Self {
+            name: name.to_owned(),
+            data_centre: data_centre.to_owned(),
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            entries,
+            log_format: Format::Text,
+            log_level: "info".to_owned(),
+            max_slots: 256,
+            timing: Timing::default(),
+        }
+    }
+
+    /// Adds the flags to a command.
+    pub fn add_flags(command: Command) -> Command {
+        let d = Self::new("", "", Vec::new());
+        command
+            .arg(
+                flag(
+                    "name",
+                    "NAME",
+                    "Name of this agent and its backend server, unique in the region",
+                )
+                .required(true),
+            )
+            .arg(flag("data-centre", "NAME", "Data centre of this agent").required(true))
+            .arg(
+                flag(
+                    "listen",
+                    "IP:PORT",
+                    "Address for the backend server and metrics",
+                )
+                .default_value("127.0.0.1:8082"),
+            )
+            .arg(
+                flag(
+                    "entries",
+                    "IP:PORT,...",
+                    "Peer addresses of some entries; the others are learnt",
+                )
+                .required(true),
+            )
+            .arg(
+                flag("log-format", "FORM", "Form of the log lines: text or json")
+                    .default_value("text"),
+            )
+            .arg(flag("log-level", "LEVEL", "Least level, or a filter").default_value("info"))
+            .arg(
+                flag(
+                    "max-slots",
+                    "COUNT",
+                    "Most slots that a backend server may announce",
+                )
+                .default_value(d.max_slots.to_string()),
+            )
+            .arg(
+                flag(
+                    "window-ms",
+                    "MS",
+                    "How long starts are remembered; the same as at the entries",
+                )
+                .default_value(d.timing.window.as_millis().to_string()),
+            )
+    }
+
+    /// Reads and checks the flags.
+    ///
+    /// # Errors
+    /// Fails on the first setting that is not allowed.
+    pub fn read(matches: &ArgMatches) -> Result<Self, Error> {
+        const ENTRIES: &str = "addresses such as 10.0.0.1:8081,10.0.0.2:8081";
+        let list = read::<String>(matches, "entries", ENTRIES)?;
+        let entries: Vec<String> = list
+            .split(',')
+            .map(|entry| entry.trim().to_owned())
+            .collect();
+        if entries
+            .iter()
+            .any(|entry| entry.parse::<SocketAddr>().is_err())
+        {
+            return Err(Error::new("entries", list, ENTRIES));
+        }
+        let name = read_name(matches, "name")?;
+        let data_centre = read_name(matches, "data-centre")?;
+        let mut settings = Self::new(&name, &data_centre, entries);
+        settings.listen = read(matches, "listen", "an address such as 10.0.0.1:8082")?;
+        settings.log_format = read(matches, "log-format", "text or json")?;
+        settings.log_level = read(matches, "log-level", "any text")?;
+        settings.max_slots = read_within(matches, "max-slots", 1, 4_096)? as u32;
+        let window = read_within(matches, "window-ms", 10_000, MILLIS_PER_DAY)?;
+        settings.timing.window = std::time::Duration::from_millis(window);
+        Ok(settings)
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/fleet.rs
@@ -0,0 +1,185 @@
+//! Agents of an entry: attachment, reports, loss.
+
+use super::{Action, Entry, TaskState};
+use crate::frame::{Attempt, End, Order, Outcome, Report};
+use crate::job::Task;
+use crate::placement::{Agent, Key};
+use crate::time::Now;
+
+impl Entry {
+    pub(super) fn reported(
+        &mut self,
+        link: u64,
+        report: Report,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        self.hear_epoch(report.epoch, now, actions);
+        let Some(key) = self.attach(link, &report, now, actions) else {
+            return;
+        };
+        let agent = &mut self.fleet.agents[key];
+        agent.heard = now.mono;
+        agent.load = report.load;
+        agent.unreported = 0;
+        agent.epoch = agent.epoch.max(report.epoch);
+        agent.record_stamp(report.stamp, now.mono);
+        for outcome in report.outcomes {
+            self.ended(key, outcome, now, actions);
+        }
+    }
+
+    /// Returns the agent behind a connection, after its first report has named it.
+    fn attach(
+        &mut self,
+        link: u64,
+        report: &Report,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) -> Option<Key> {
+        let Some(hello) = &report.hello else {
+            return self.links.get(&link).copied();
+        };
+        if let Some(key) = self.fleet.key(&hello.agent) {
+            if self.fleet.agents[key].incarnation == report.incarnation {
+                self.reattach(key, link, report, now, actions);
+                return Some(key);
+            }
+            self.lose(key, now, actions);
+        }
+        let agent = Agent::new(hello.clone(), report.incarnation, link, now.mono);
+        let key = self.fleet.insert(agent);
+        self.links.insert(link, key);
+        self.tell_entries(key, actions);
+        Some(key)
+    }
+
+    fn reattach(
+        &mut self,
+        key: Key,
+        link: u64,
+        report: &Report,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        let agent = &mut self.fleet.agents[key];
+        if let Some(hello) = &report.hello {
+            agent.hello = hello.clone();
+        }
+        if agent.link == Some(link) {
+            return;
+        }
+        agent.link = Some(link);
+        agent.heard = now.mono;
+        self.links.retain(|_link, other| *other != key);
+        self.links.insert(link, key);
+        let queries = self.attempts_on(key);
+        if !queries.is_empty() {
+            let order = Order {
+                queries,
+                ..self.order(key)
+            };
+            actions.push(Action::Order { link, order });
+        }
+        self.tell_entries(key, actions);
+    }
+
+    pub(super) fn detached(&mut self, link: u64, now: Now) {
+        if let Some(key) = self.links.remove(&link) {
+            let agent = &mut self.fleet.agents[key];
+            agent.link = None;
+            agent.heard = now.mono;
+        }
+    }
+
+    pub(super) fn tick_fleet(&mut self, now: Now, actions: &mut Vec<Action>) {
+        let silence = self.timing.agent_silence;
+        let lost: Vec<Key> = self
+            .fleet
+            .agents
+            .iter()
+            .filter(|(_key, agent)| agent.link.is_none() && now.mono.since(agent.heard) > silence)
+            .map(|(key, _agent)| key)
+            .collect();
+        for key in lost {
+            self.lose(key, now, actions);
+        }
+    }
+
+    /// Gives up an agent; what it held has an unknown outcome.
+    fn lose(&mut self, key: Key, now: Now, actions: &mut Vec<Action>) {
+        for Attempt { task, attempt } in self.attempts_on(key) {
+            let end = End::Unknown("the agent was lost or restarted".to_owned());
+            self.ended(
+                key,
+                Outcome {
+                    task,
+                    attempt,
+                    end,
+                    queue_us: 0,
+                    run_us: 0,
+                },
+                now,
+                actions,
+            );
+        }
+        self.fleet.remove(key);
+        self.links.retain(|_link, other| *other != key);
+    }
+
+    fn attempts_on(&self, key: Key) -> Vec<Attempt> {
+        let mut attempts = Vec::new();
+        for job in self.jobs.values().filter(|job| !job.is_ended()) {
+            for (index, state) in (0..).zip(&job.tasks) {
+                if let TaskState::Dispatched { agent, attempt } = state
+                    && *agent == key
+                {
+                    let task = Task {
+                        job: job.spec.id,
+                        index,
+                    };
+                    attempts.push(Attempt {
+                        task,
+                        attempt: *attempt,
+                    });
+                }
+            }
+        }
+        attempts
+    }
+
+    /// Returns an empty order for an agent.
+    pub(super) fn order(&self, key: Key) -> Order {
+        Order {
+            agent_incarnation: self.fleet.agents[key].incarnation,
+            epoch: self.row.epoch,
+            ..Order::default()
+        }
+    }
+
+    /// Tells all agents which entries to attach to.
+    pub(super) fn announce_entries(&self, actions: &mut Vec<Action>) {
+        for key in self.fleet.agents.keys() {
+            self.tell_entries(key, actions);
+        }
+    }
+
+    fn tell_entries(&self, key: Key, actions: &mut Vec<Action>) {
+        let Some(link) = self.fleet.agents[key].link else {
+            return;
+        };
+        let entries = self
+            .row
+            .members
+            .iter()
+            .map(|member| member.address.clone())
+            .collect();
+        actions.push(Action::Order {
+            link,
+            order: Order {
+                entries,
+                ..self.order(key)
+            },
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/submit.rs
@@ -0,0 +1,448 @@
+//! Acceptance of jobs: routing to the coordinator, joining, admission.
+
+use std::hash::Hasher;
+
+use bytes::Bytes;
+use rand::Rng;
+use slotmap::new_key_type;
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::Xxh3Default;
+
+use super::{Action, Entry, Origin, Question, Step, StepKind, Waiter};
+use crate::job::{Answer, Id, Spec};
+use crate::placement;
+use crate::refusal::{Ran, Reason, Refusal};
+use crate::rendezvous;
+use crate::time::{Mono, Now};
+
+new_key_type! {
+    /// Key of a job's record.
+    pub struct Key;
+}
+
+/// Draws of an id before one that another entry coordinates is taken.
+const ID_DRAWS: u32 = 1_000;
+
+/// Steps kept of one job's trace.
+const TRACE_STEPS: usize = 2_048;
+
+/// State of one task at its coordinator.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TaskState {
+    /// Waits for an agent; the number of attempts made so far.
+    Queued {
+        /// Attempts that ended with a definite "not started".
+        attempts: u32,
+    },
+    /// Sent to an agent.
+    Dispatched {
+        /// The agent.
+        agent: placement::Key,
+        /// Number of the attempt.
+        attempt: u32,
+    },
+    /// Ended with an output.
+    Done(Bytes),
+}
+
+/// Record of a job at its coordinator, kept for the window after its creation.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// The job; its inputs are dropped at the end.
+    pub spec: Spec,
+    /// Digest of kind and inputs, to tell a resubmission from a reused id.
+    pub digest: u64,
+    /// State of each task; empty after the end.
+    pub tasks: Vec<TaskState>,
+    /// Tasks that have not ended with an output.
+    pub open: u32,
+    /// When the job times out.
+    pub deadline: Mono,
+    /// Who waits for the answer.
+    pub waiters: SmallVec<[Waiter; 2]>,
+    /// Whether a task is known to have started.
+    pub started: bool,
+    /// The end, once it has come.
+    pub answer: Option<Answer>,
+    /// What happened.
+    pub trace: Vec<Step>,
+}
+
+impl Job {
+    /// Returns whether the job has its answer.
+    pub fn is_ended(&self) -> bool {
+        self.answer.is_some()
+    }
+
+    /// Adds a step to the trace, up to the bound.
+    pub(super) fn note(&mut self, now: Now, kind: StepKind) {
+        if self.trace.len() < TRACE_STEPS {
+            self.trace.push(Step { at: now.wall, kind });
+        }
+    }
+}
+
+/// Whether this entry may start a job that it does not know.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Admission {
+    /// It may.
+    Start,
+    /// Not yet: ask again later.
+    Wait,
+    /// It may not.
+    Refuse(Refusal),
+}
+
+impl Entry {
+    pub(super) fn submit(
+        &mut self,
+        waiter: Waiter,
+        mut spec: Spec,
+        origin: Origin,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        if origin == Origin::NewId {
+            spec.id = self.draw_id(now);
+        }
+        if let Err(refusal) = self.check_created(&spec.id, now) {
+            return answer(waiter, spec.id, Answer::Refused(refusal), actions);
+        }
+        let forwarded = origin == Origin::Forwarded;
+        self.ask(waiter, Question::Submit(spec), forwarded, now, actions);
+    }
+
+    /// Draws an id that this entry coordinates, so that the job needs no forward hop.
+    fn draw_id(&mut self, now: Now) -> Id {
+        let mut id = Id::new(now.wall, self.rng.random());
+        for _draw in 0..ID_DRAWS {
+            let coordinator = rendezvous::coordinator(&self.row.members, &id);
+            if coordinator.is_none_or(|member| member.name == self.me.name) {
+                break;
+            }
+            id = Id::new(now.wall, self.rng.random());
+        }
+        id
+    }
+
+    /// Answers a question here or passes it on to the job's coordinator.
+    pub(super) fn ask(
+        &mut self,
+        waiter: Waiter,
+        question: Question,
+        forwarded: bool,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        let id = question.id();
+        if self.by_id.contains_key(&id) {
+            return self.answer_here(waiter, question, now, actions);
+        }
+        let Some(coordinator) = rendezvous::coordinator(&self.row.members, &id) else {
+            return answer(waiter, id, Answer::Refused(no_lease()), actions);
+        };
+        if coordinator.name == self.me.name {
+            return self.answer_here(waiter, question, now, actions);
+        }
+        if forwarded {
+            return actions.push(Action::Misdirected { waiter });
+        }
+        let to = coordinator.clone();
+        self.forwards.insert(waiter, question.clone());
+        actions.push(Action::Forward {
+            waiter,
+            to,
+            question,
+        });
+    }
+
+    /// Tries again after the entry that a question was forwarded to did not answer it.
+    pub(super) fn forward_lost(&mut self, waiter: Waiter, now: Now) {
+        if let Some(question) = self.forwards.remove(&waiter) {
+            self.park(waiter, question, now);
+        }
+    }
+
+    fn answer_here(
+        &mut self,
+        waiter: Waiter,
+        question: Question,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        match question {
+            Question::Submit(spec) => self.submit_here(waiter, spec, now, actions),
+            Question::Get(id) => self.get_here(waiter, id, actions),
+            Question::Cancel(id) => self.cancel_here(waiter, id, now, actions),
+            Question::Trace(id) => self.trace_here(waiter, id, actions),
+        }
+    }
+
+    fn submit_here(&mut self, waiter: Waiter, spec: Spec, now: Now, actions: &mut Vec<Action>) {
+        if let Some(key) = self.by_id.get(&spec.id).copied() {
+            return self.join(waiter, key, &spec, now, actions);
+        }
+        match self.admit(&spec.id, now) {
+            Admission::Refuse(refusal) => {
+                answer(waiter, spec.id, Answer::Refused(refusal), actions);
+            }
+            Admission::Wait => self.park(waiter, Question::Submit(spec), now),
+            Admission::Start => match self.check_spec(&spec) {
+                Ok(()) => self.accept(waiter, spec, now),
+                Err(refusal) => self.tombstone(waiter, spec.id, refusal, now, actions),
+            },
+        }
+    }
+
+    fn join(&mut self, waiter: Waiter, key: Key, spec: &Spec, now: Now, actions: &mut Vec<Action>) {
+        let job = &mut self.jobs[key];
+        let reused = job.digest != 0 && job.digest != digest(spec);
+        if reused {
+            let refusal = Refusal::new(
+                Reason::IdReused,
+                Ran::Unknown,
+                "this id was used for another kind or other inputs; make a new id for a new job",
+            );
+            return answer(waiter, spec.id, Answer::Refused(refusal), actions);
+        }
+        job.note(now, StepKind::Joined);
+        match &job.answer {
+            Some(end) => answer(waiter, spec.id, end.clone(), actions),
+            None => job.waiters.push(waiter),
+        }
+    }
+
+    fn get_here(&mut self, waiter: Waiter, id: Id, actions: &mut Vec<Action>) {
+        let Some(key) = self.by_id.get(&id) else {
+            return answer(waiter, id, Answer::Refused(not_found()), actions);
+        };
+        let job = &mut self.jobs[*key];
+        match &job.answer {
+            Some(end) => answer(waiter, id, end.clone(), actions),
+            None => job.waiters.push(waiter),
+        }
+    }
+
+    fn trace_here(&self, waiter: Waiter, id: Id, actions: &mut Vec<Action>) {
+        match self.by_id.get(&id) {
+            Some(key) => {
+                let steps = self.jobs[*key].trace.clone();
+                actions.push(Action::Traced { waiter, id, steps });
+            }
+            None => answer(waiter, id, Answer::Refused(not_found()), actions),
+        }
+    }
+
+    fn cancel_here(&mut self, waiter: Waiter, id: Id, now: Now, actions: &mut Vec<Action>) {
+        if let Some(key) = self.by_id.get(&id).copied() {
+            if !self.jobs[key].is_ended() {
+                let refusal = Refusal::new(
+                    Reason::Cancelled,
+                    self.ran(key),
+                    "the job was cancelled; submit a new id to run it",
+                );
+                self.finish(key, Answer::Refused(refusal), now, actions);
+            }
+            return self.get_here(waiter, id, actions);
+        }
+        match self.admit(&id, now) {
+            Admission::Start => {
+                let refusal = Refusal::new(
+                    Reason::Cancelled,
+                    Ran::No,
+                    "the job was cancelled before it was submitted; submit a new id to run it",
+                );
+                self.tombstone(waiter, id, refusal, now, actions);
+            }
+            Admission::Wait => self.park(waiter, Question::Cancel(id), now),
+            Admission::Refuse(refusal) => answer(waiter, id, Answer::Refused(refusal), actions),
+        }
+    }
+
+    /// Refuses ids whose creation time does not lie within the window.
+    fn check_created(&self, id: &Id, now: Now) -> Result<(), Refusal> {
+        let created = id.created();
+        if created > now.wall.plus(self.timing.skew) {
+            return Err(Refusal::new(
+                Reason::IdFromFuture,
+                Ran::Unknown,
+                "the id's creation time lies ahead of this entry's clock; set the caller's clock and make a new id",
+            ));
+        }
+        if now.wall.since(created) > self.timing.window {
+            return Err(Refusal::new(
+                Reason::IdTooOld,
+                Ran::Unknown,
+                "the id is older than the window in which jobs are remembered; make a new id if the work may run again",
+            ));
+        }
+        Ok(())
+    }
+
+    fn check_spec(&self, spec: &Spec) -> Result<(), Refusal> {
+        let refuse = |reason, detail: String| Err(Refusal::new(reason, Ran::No, detail));
+        let Some(kind) = self.catalogue.kind(&spec.kind) else {
+            return refuse(
+                Reason::UnknownKind,
+                format!(
+                    "the catalogue has no kind `{}`; see `ibisspool catalogue list`",
+                    spec.kind
+                ),
+            );
+        };
+        let most = kind
+            .max_tasks
+            .map_or(self.bounds.tasks_per_job, |most| most as usize);
+        if spec.inputs.len() > most {
+            return refuse(
+                Reason::TooLarge,
+                format!(
+                    "the job has {} tasks; `{}` allows {most}",
+                    spec.inputs.len(),
+                    spec.kind
+                ),
+            );
+        }
+        let most = kind
+            .max_input_bytes
+            .map_or(self.bounds.input_bytes, |most| most as usize);
+        if let Some(index) = spec.inputs.iter().position(|input| input.len() > most) {
+            return refuse(
+                Reason::TooLarge,
+                format!(
+                    "the input of task {index} is over the {most} bytes that `{}` allows",
+                    spec.kind
+                ),
+            );
+        }
+        if spec.timeout.is_zero() || spec.timeout.as_millis() > u128::from(kind.max_timeout_ms) {
+            return refuse(
+                Reason::TimeoutOutOfRange,
+                format!(
+                    "timeout_ms must be 1 to {} for `{}`",
+                    kind.max_timeout_ms, spec.kind
+                ),
+            );
+        }
+        if !self
+            .fleet
+            .serves(&spec.kind, |agent| self.in_service(agent))
+        {
+            return Err(Refusal::new(
+                Reason::NoBackend,
+                Ran::No,
+                format!(
+                    "no backend server in service announces the kind `{}`; try a new id later",
+                    spec.kind
+                ),
+            )
+            .with_retry_after_ms(1_000));
+        }
+        if self.queue.len() + spec.inputs.len() > self.bounds.queued_tasks {
+            return Err(Refusal::new(
+                Reason::QueueFull,
+                Ran::No,
+                "the queue of this entry is full; send a new id later",
+            )
+            .with_retry_after_ms(1_000));
+        }
+        Ok(())
+    }
+
+    fn accept(&mut self, waiter: Waiter, spec: Spec, now: Now) {
+        let step = StepKind::Accepted {
+            entry: self.me.name.clone(),
+            epoch: self.row.epoch,
+            tasks: spec.inputs.len() as u32,
+        };
+        let deadline = now.mono.plus(spec.timeout);
+        let id = spec.id;
+        let mut job = Job {
+            digest: digest(&spec),
+            tasks: vec![TaskState::Queued { attempts: 0 }; spec.inputs.len()],
+            open: spec.inputs.len() as u32,
+            deadline,
+            waiters: SmallVec::from_slice(&[waiter]),
+            started: false,
+            answer: None,
+            trace: Vec::new(),
+            spec,
+        };
+        job.note(now, step);
+        let open = job.open;
+        let key = self.jobs.insert(job);
+        self.by_id.insert(id, key);
+        self.deadlines.insert((deadline, key));
+        self.queue.extend((0..open).map(|index| (key, index)));
+    }
+
+    /// Remembers that nothing of the id ever starts, and says so.
+    fn tombstone(
+        &mut self,
+        waiter: Waiter,
+        id: Id,
+        refusal: Refusal,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        let answer_now = Answer::Refused(refusal);
+        let spec = Spec {
+            id,
+            kind: String::new(),
+            inputs: Vec::new(),
+            timeout: std::time::Duration::ZERO,
+            idempotent: false,
+        };
+        let mut job = Job {
+            spec,
+            digest: 0,
+            tasks: Vec::new(),
+            open: 0,
+            deadline: now.mono,
+            waiters: SmallVec::new(),
+            started: false,
+            answer: Some(answer_now.clone()),
+            trace: Vec::new(),
+        };
+        if let Answer::Refused(refusal) = &answer_now {
+            job.note(now, StepKind::refused(refusal));
+        }
+        let key = self.jobs.insert(job);
+        self.by_id.insert(id, key);
+        self.expire_later(key, now);
+        answer(waiter, id, answer_now, actions);
+    }
+}
+
+/// Answers a caller.
+pub(super) fn answer(waiter: Waiter, id: Id, answer: Answer, actions: &mut Vec<Action>) {
+    actions.push(Action::Answer { waiter, id, answer });
+}
+
+fn not_found() -> Refusal {
+    Refusal::new(
+        Reason::NotFound,
+        Ran::Unknown,
+        "the coordinator knows no job of this id; it was never submitted or was forgotten after the window",
+    )
+}
+
+pub(super) fn no_lease() -> Refusal {
+    Refusal::new(
+        Reason::NoLease,
+        Ran::Unknown,
+        "this entry cannot confirm its lease; send the same id again, best to another entry",
+    )
+    .with_retry_after_ms(1_000)
+}
+
+/// Returns a digest of what the job asks for; never 0, which marks a tombstone.
+fn digest(spec: &Spec) -> u64 {
+    let mut hasher = Xxh3Default::new();
+    hasher.write(spec.kind.as_bytes());
+    for input in &spec.inputs {
+        hasher.write_u64(input.len() as u64);
+        hasher.write(input);
+    }
+    hasher.finish().max(1)
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,19 @@
+//! Decisions of ibisspool: pure state machines without input, output, clocks or threads.
+//!
+//! Where to look:
+//! - a job's path: [`entry`] (`submit`, `dispatch`, `outcome`), then [`agent`]
+//! - who may decide: [`lease`], [`control`], [`rendezvous`]
+//! - why a request was refused: [`refusal`]
+
+pub mod agent;
+pub mod catalogue;
+pub mod control;
+pub mod entry;
+pub mod frame;
+pub mod job;
+pub mod lease;
+pub mod placement;
+pub mod refusal;
+pub mod rendezvous;
+pub mod settings;
+pub mod time;
--- /dev/null
+++ b/crates/core/tests/lease.rs
@@ -0,0 +1,88 @@
+//! The lease and the taking effect of a change.
+
+use std::time::Duration;
+
+use ibisspool_core::control::{Member, Row};
+use ibisspool_core::lease::{Lease, Takeover};
+use ibisspool_core::settings::Timing;
+use ibisspool_core::time::Mono;
+
+fn member(name: &str) -> Member {
+    Member {
+        name: name.to_owned(),
+        incarnation: 7,
+        address: "127.0.0.1:1".to_owned(),
+        data_centre: "north".to_owned(),
+    }
+}
+
+fn row(epoch: u64, names: &[&str]) -> Row {
+    Row {
+        epoch,
+        members: names.iter().map(|name| member(name)).collect(),
+        ..Row::default()
+    }
+}
+
+fn at(millis: u64) -> Mono {
+    Mono(0).plus(Duration::from_millis(millis))
+}
+
+#[test]
+fn lease_counts_from_the_question_not_the_answer() {
+    let timing = Timing::default();
+    let row = row(1, &["a", "b", "c"]);
+    let mut lease = Lease::new();
+
+    lease.note_read(at(0));
+    lease.confirm_by_peer("b", at(500));
+
+    assert_eq!(lease.basis("a", &row, &timing, at(1_500)), Some(at(500)));
+    assert_eq!(lease.basis("a", &row, &timing, at(1_501)), None);
+}
+
+#[test]
+fn lease_without_a_read_of_the_row_lapses_after_the_store_grace() {
+    let timing = Timing {
+        store_grace: Duration::from_secs(2),
+        ..Timing::default()
+    };
+    let row = row(1, &["a", "b", "c"]);
+    let mut lease = Lease::new();
+
+    lease.note_read(at(0));
+    lease.confirm_by_peer("b", at(2_100));
+
+    assert_eq!(lease.basis("a", &row, &timing, at(2_100)), None);
+}
+
+#[test]
+fn change_is_in_force_a_lease_after_the_blocking_set_has_answered() {
+    let timing = Timing::default();
+    let mut takeover = Takeover::new();
+
+    takeover.begin(row(1, &["a", "b", "c"]), "a", at(0));
+    takeover.settle(&timing, at(5_000));
+    let after_one_answer = takeover.in_force(2);
+    takeover.confirm("b", 7, 2, at(5_000));
+    takeover.settle(&timing, at(6_010));
+    let before_the_wait = takeover.in_force(2);
+    takeover.settle(&timing, at(6_011));
+    let after_the_wait = takeover.in_force(2);
+
+    assert!(!after_one_answer);
+    assert!(!before_the_wait);
+    assert!(after_the_wait);
+}
+
+#[test]
+fn answer_of_another_incarnation_does_not_count() {
+    let timing = Timing::default();
+    let mut takeover = Takeover::new();
+
+    takeover.begin(row(1, &["a", "b", "c"]), "a", at(0));
+    takeover.confirm("b", 8, 2, at(0));
+    takeover.settle(&timing, at(5_000));
+
+    assert!(!takeover.in_force(2));
+}
--- /dev/null
+++ b/crates/entry/src/callers.rs
@@ -0,0 +1,248 @@
+//! The callers' HTTP interface.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use crossbeam::channel::Sender;
+use ibisspool_core::entry::{Event, Origin};
+use ibisspool_core::job::{Id, Spec};
+use ibisspool_core::refusal::{Ran, Reason, Refusal};
+use ibisspool_core::time::Wall;
+use ibisspool_kernel::http;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use tiny_http::{Method, Request};
+
+use crate::metrics::Metrics;
+use crate::responder::{self, Form, Waiters};
+
+/// Timeout of a job that names none.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What the HTTP part needs to serve a request.
+#[derive(Debug, Clone)]
+pub struct Context {
+    /// Mailbox of the decider.
+    pub events: Sender<Event>,
+    /// Those who wait for an answer.
+    pub waiters: Waiters,
+    /// Metrics of the entry.
+    pub metrics: Metrics,
+    /// Whether the entry takes new work.
+    pub ready: Arc<AtomicBool>,
+    /// Most bytes of a body.
+    pub body_bytes: usize,
+    /// Most callers that wait.
+    pub max_waiters: usize,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Submission<'a> {
+    kind: String,
+    #[serde(borrow)]
+    tasks: Vec<TaskBody<'a>>,
+    timeout_ms: Option<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TaskBody<'a> {
+    #[serde(borrow)]
+    input: &'a RawValue,
+}
+
+/// Serves one request: answers it, or hands it to the decider.
+pub fn handle(context: &Context, request: Request) {
+    let path = request
+        .url()
+        .split('?')
+        .next()
+        .unwrap_or_default()
+        .to_owned();
+    let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+    let method = request.method().clone();
+    match (&method, parts.as_slice()) {
+        (Method::Get, ["healthz"]) => http::send(request, http::reply(200, "text/plain", "ok\n")),
+        (Method::Get, ["readyz"]) => ready(context, request),
+        (Method::Get, ["metrics"]) => {
+            http::send(
+                request,
+                http::reply(200, "text/plain; version=0.0.4", context.metrics.text()),
+            );
+        }
+        (Method::Post, ["v1", "jobs"]) => submit(context, request, None),
+        (Method::Put, ["v1", "jobs", id]) => submit(context, request, Some(id)),
+        (Method::Post, ["v1", "requests", kind]) => call(context, request, kind),
+        (Method::Get, ["v1", "jobs", id]) => {
+            ask(context, request, id, |waiter, id| Event::Get {
+                waiter,
+                id,
+                forwarded: false,
+            });
+        }
+        (Method::Delete, ["v1", "jobs", id]) => {
+            ask(context, request, id, |waiter, id| Event::Cancel {
+                waiter,
+                id,
+                forwarded: false,
+            });
+        }
+        (Method::Get, ["v1", "jobs", id, "trace"]) => {
+            ask(context, request, id, |waiter, id| Event::Trace {
+                waiter,
+                id,
+                forwarded: false,
+            });
+        }
+        _ => unknown(context, request, &path),
+    }
+}
+
+fn ready(context: &Context, request: Request) {
+    let reply = if context.ready.load(Ordering::Relaxed) {
+        http::reply(200, "text/plain", "ready\n")
+    } else {
+        http::reply(
+            503,
+            "text/plain",
+            "not ready: no lease, no catalogue, or leaving\n",
+        )
+    };
+    http::send(request, reply);
+}
+
+fn unknown(context: &Context, request: Request, path: &str) {
+    let detail = format!(
+        "there is no {} {path}; docs/PROTOCOL.md lists the interface",
+        request.method()
+    );
+    let refusal = Refusal::new(Reason::NotFound, Ran::No, detail);
+    refuse(context, request, &refusal);
+}
+
+fn refuse(context: &Context, request: Request, refusal: &Refusal) {
+    http::send(request, responder::refused(refusal, None, &context.metrics));
+}
+
+fn ask<F>(context: &Context, request: Request, id: &str, event: F)
+where
+    F: FnOnce(ibisspool_core::entry::Waiter, Id) -> Event,
+{
+    match id.parse::<Id>() {
+        Ok(id) => hand_over(context, request, Form::Job, |waiter| event(waiter, id)),
+        Err(error) => {
+            let refusal = Refusal::new(Reason::Malformed, Ran::No, error.to_string());
+            refuse(context, request, &refusal);
+        }
+    }
+}
+
+fn submit(context: &Context, mut request: Request, id: Option<&str>) {
+    // An id that was named may have run before, so only its coordinator can say "no".
+    let ran = if id.is_some() { Ran::Unknown } else { Ran::No };
+    let spec = read_body(context, &mut request, ran).and_then(|body| read_spec(&body, id, ran));
+    match spec {
+        Ok(spec) => {
+            let origin = if id.is_some() {
+                Origin::Caller
+            } else {
+                Origin::NewId
+            };
+            hand_over(context, request, Form::Job, |waiter| Event::Submit {
+                waiter,
+                spec,
+                origin,
+            });
+        }
+        Err(refusal) => refuse(context, request, &refusal),
+    }
+}
+
+fn call(context: &Context, mut request: Request, kind: &str) {
+    let idempotent = request.headers().iter().any(|header| {
+        header.field.equiv("Ibisspool-Idempotent")
+            && header.value.as_str().eq_ignore_ascii_case("true")
+    });
+    match read_body(context, &mut request, Ran::No) {
+        Ok(body) => {
+            let spec = Spec {
+                id: unset_id(),
+                kind: kind.to_owned(),
+                inputs: vec![Bytes::from(body)],
+                timeout: DEFAULT_TIMEOUT,
+                idempotent,
+            };
+            let origin = Origin::NewId;
+            hand_over(context, request, Form::Request, |waiter| Event::Submit {
+                waiter,
+                spec,
+                origin,
+            });
+        }
+        Err(refusal) => refuse(context, request, &refusal),
+    }
+}
+
+fn hand_over<F>(context: &Context, request: Request, form: Form, event: F)
+where
+    F: FnOnce(ibisspool_core::entry::Waiter) -> Event,
+{
+    if context.waiters.len() >= context.max_waiters {
+        let refusal = Refusal::new(
+            Reason::QueueFull,
+            Ran::Unknown,
+            "too many callers wait at this entry; send the same id again later",
+        )
+        .with_retry_after_ms(1_000);
+        return refuse(context, request, &refusal);
+    }
+    let waiter = context.waiters.add_caller(request, form);
+    let _decider_ended = context.events.send(event(waiter));
+}
+
+fn read_body(context: &Context, request: &mut Request, ran: Ran) -> Result<Vec<u8>, Refusal> {
+    http::read_body(request, context.body_bytes).ok_or_else(|| {
+        let detail = format!(
+            "the body broke off or is over {} bytes; send fewer tasks in one job",
+            context.body_bytes
+        );
+        Refusal::new(Reason::TooLarge, ran, detail)
+    })
+}
+
+fn read_spec(body: &[u8], id: Option<&str>, ran: Ran) -> Result<Spec, Refusal> {
+    let malformed = |detail: String| Refusal::new(Reason::Malformed, ran, detail);
+    let id = match id {
+        Some(id) => id
+            .parse::<Id>()
+            .map_err(|error| malformed(error.to_string()))?,
+        None => unset_id(),
+    };
+    let submission: Submission<'_> = serde_json::from_slice(body)
+        .map_err(|error| malformed(format!("the body is not a job: {error}")))?;
+    if submission.tasks.is_empty() {
+        return Err(malformed(
+            "the job has no tasks; name at least one".to_owned(),
+        ));
+    }
+    let inputs = submission.tasks.iter();
+    Ok(Spec {
+        id,
+        kind: submission.kind,
+        inputs: inputs
+            .map(|task| Bytes::copy_from_slice(task.input.get().as_bytes()))
+            .collect(),
+        timeout: submission
+            .timeout_ms
+            .map_or(DEFAULT_TIMEOUT, Duration::from_millis),
+        idempotent: false,
+    })
+}
+
+/// Returns the place-holder that the entry replaces with an id of its own.
+fn unset_id() -> Id {
+    Id::new(Wall(0), [0; 10])
+}
--- /dev/null
+++ b/crates/entry/src/cli.rs
@@ -0,0 +1,70 @@
+//! The command line of `ibisspool`.
+
+use std::ffi::OsString;
+
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use ibisspool_kernel::{log as logs, settings as kernel_settings};
+
+use crate::serve;
+use crate::settings::Settings;
+
+/// Exit code for a process that could not start or go on.
+const FAILED: i32 = 1;
+
+/// Returns the command line.
+pub fn command() -> Command {
+    let serve = Command::new("serve")
+        .about("Take callers' work and coordinate jobs")
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings and exit"),
+        );
+    Command::new("ibisspool")
+        .about("Dispatcher for sub-second tasks")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(Settings::add_flags(serve))
+}
+
+/// Runs the command line and returns the exit code.
+pub fn run<I>(args: I) -> i32
+where
+    I: IntoIterator<Item = OsString>,
+{
+    let matches = match command().try_get_matches_from(args) {
+        Ok(matches) => matches,
+        Err(error) => {
+            let _printed = error.print();
+            return error.exit_code();
+        }
+    };
+    match matches.subcommand() {
+        Some(("serve", matches)) => run_serve(matches),
+        _ => kernel_settings::INVALID,
+    }
+}
+
+fn run_serve(matches: &ArgMatches) -> i32 {
+    let settings = match Settings::read(matches) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("error: {error}");
+            return kernel_settings::INVALID;
+        }
+    };
+    if matches.get_flag("check") {
+        println!("The settings are valid.");
+        return 0;
+    }
+    logs::start(settings.log_format, &settings.log_level);
+    match serve::run(&settings) {
+        Ok(()) => 0,
+        Err(error) => {
+            log::error!("serve: {error:#}.");
+            FAILED
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/decider.rs
@@ -0,0 +1,99 @@
+//! The thread that owns the entry's state and carries out its decisions.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use ibisspool_core::entry::{Action, Entry, Event};
+use ibisspool_kernel::clock::Clock;
+
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::responder::Waiters;
+use crate::store;
+
+/// Time between ticks.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Everything that decisions act upon.
+#[derive(Debug)]
+pub struct Decider {
+    /// The state.
+    pub entry: Entry,
+    /// The clocks.
+    pub clock: Clock,
+    /// Edge to the other processes.
+    pub peers: Peers,
+    /// Those who wait for an answer.
+    pub waiters: Waiters,
+    /// Mailbox of the store part.
+    pub store: Sender<store::Request>,
+    /// Metrics of the entry.
+    pub metrics: Metrics,
+    /// Whether the entry takes new work.
+    pub ready: Arc<AtomicBool>,
+}
+
+impl Decider {
+    /// Decides until the entry is drained after a stop, or every sender is gone.
+    pub fn run(mut self, events: &Receiver<Event>) {
+        let mut next_tick = self.clock.mono();
+        loop {
+            let rest = next_tick.since(self.clock.mono());
+            let event = match events.recv_timeout(rest) {
+                Ok(event) => event,
+                Err(RecvTimeoutError::Timeout) => {
+                    next_tick = self.clock.mono().plus(TICK);
+                    Event::Tick
+                }
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            self.step(event);
+            if self.entry.is_drained() && self.waiters.is_empty() {
+                return;
+            }
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let now = self.clock.now();
+        let mut actions = Vec::new();
+        self.entry.handle(event, now, &mut actions);
+        self.ready
+            .store(self.entry.is_ready(now), Ordering::Relaxed);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&self, action: Action) {
+        match action {
+            Action::Answer { waiter, id, answer } => self.waiters.answer(waiter, id, answer),
+            Action::Traced { waiter, id, steps } => self.waiters.traced(waiter, id, &steps),
+            Action::Misdirected { waiter } => self.waiters.misdirected(waiter),
+            Action::AnswerBeat { waiter, epoch } => self.waiters.beat(waiter, epoch),
+            Action::Forward {
+                waiter,
+                to,
+                question,
+            } => self.peers.forward(waiter, &to, question),
+            Action::Order { link, order } => self.peers.order(link, order),
+            Action::Beat { to, epoch } => self.peers.beat(to, epoch),
+            Action::ReadRow => store::ask(&self.store, store::Request::ReadRow),
+            Action::WriteRow { expect, row } => {
+                log::info!("decider: Proposes epoch {} for {}.", row.epoch, row.change);
+                store::ask(&self.store, store::Request::WriteRow { expect, row });
+            }
+            Action::ReadCatalogue { version } => {
+                store::ask(&self.store, store::Request::ReadCatalogue { version });
+            }
+            Action::Retried(reason) => {
+                self.metrics
+                    .retries
+                    .with_label_values(&[<&str>::from(reason)])
+                    .inc();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peers.rs
@@ -0,0 +1,314 @@
+//! Streams of agents and calls among entries, by tonic.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use anyhow::{Context as _, Result};
+use crossbeam::channel::Sender;
+use ibisspool_core::control::Member;
+use ibisspool_core::entry::{Event, Origin, Question, Waiter};
+use ibisspool_core::frame::Order;
+use ibisspool_core::job::Id;
+use ibisspool_kernel::clock::Clock;
+use ibisspool_wire::generated as wire;
+use ibisspool_wire::generated::link_server::{Link, LinkServer};
+use ibisspool_wire::generated::peer_client::PeerClient;
+use ibisspool_wire::generated::peer_server::{Peer, PeerServer};
+use ibisspool_wire::{decode, encode};
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::{TcpListenerStream, UnboundedReceiverStream};
+use tokio_stream::{Stream, StreamExt};
+use tonic::transport::{Channel, Endpoint, Server};
+use tonic::{Request, Response, Status, Streaming};
+
+use crate::metrics::Metrics;
+use crate::responder::Waiters;
+
+/// Time within which a heartbeat must be answered.
+const BEAT_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Time between pings on a connection with an open call, and the wait for each.
+const PING: Duration = Duration::from_millis(500);
+
+/// Time between pings to agents.
+const AGENT_PING: Duration = Duration::from_secs(5);
+
+/// Most bytes of one message between processes.
+const MESSAGE_BYTES: usize = 64 << 20;
+
+/// Open streams of agents by number.
+type Streams = Arc<Mutex<HashMap<u64, mpsc::UnboundedSender<wire::Order>>>>;
+
+/// The edge to the other processes. Clones share it.
+#[derive(Debug, Clone)]
+pub struct Peers {
+    streams: Streams,
+    next_link: Arc<AtomicU64>,
+    channels: Arc<Mutex<HashMap<String, Channel>>>,
+    runtime: tokio::runtime::Handle,
+    events: Sender<Event>,
+    waiters: Waiters,
+    metrics: Metrics,
+    clock: Clock,
+    incarnation: u64,
+}
+
+impl Peers {
+    /// Makes the edge; nothing is served yet.
+    pub fn new(
+        runtime: tokio::runtime::Handle,
+        events: Sender<Event>,
+        waiters: Waiters,
+        metrics: Metrics,
+        clock: Clock,
+        incarnation: u64,
+    ) -> Self {
+        Self {
+            streams: Streams::default(),
+            next_link: Arc::new(AtomicU64::new(1)),
+            channels: Arc::default(),
+            runtime,
+            events,
+            waiters,
+            metrics,
+            clock,
+            incarnation,
+        }
+    }
+
+    /// Serves agents and other entries; returns the bound address.
+    ///
+    /// # Errors
+    /// Fails if the address cannot be listened on.
+    pub fn serve(&self, address: SocketAddr) -> Result<SocketAddr> {
+        let listener = self
+            .runtime
+            .block_on(tokio::net::TcpListener::bind(address))
+            .with_context(|| format!("cannot listen on {address}; choose a free address"))?;
+        let bound = listener.local_addr()?;
+        let incoming = TcpListenerStream::new(listener).map(|connection| {
+            connection.inspect(|connection| {
+                let _best_effort = connection.set_nodelay(true);
+            })
+        });
+        let link = LinkServer::new(self.clone()).max_decoding_message_size(MESSAGE_BYTES);
+        let peer = PeerServer::new(self.clone()).max_decoding_message_size(MESSAGE_BYTES);
+        let server = Server::builder()
+            .http2_keepalive_interval(Some(AGENT_PING))
+            .http2_keepalive_timeout(Some(AGENT_PING))
+            .add_service(link)
+            .add_service(peer)
+            .serve_with_incoming(incoming);
+        self.runtime.spawn(async move {
+            if let Err(error) = server.await {
+                log::error!("peers: The listener ended: {error}.");
+            }
+        });
+        Ok(bound)
+    }
+
+    /// Sends an order over an agent's stream; an order for a closed stream is dropped, and the
+    /// agent is queried when it comes back.
+    pub fn order(&self, link: u64, order: Order) {
+        self.metrics.orders.inc();
+        self.metrics
+            .dispatches
+            .inc_by(order.dispatches.len() as u64);
+        let streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(stream) = streams.get(&link) {
+            let _closed = stream.send(encode::order(order));
+        }
+    }
+
+    /// Sends a heartbeat.
+    pub fn beat(&self, to: Member, epoch: u64) {
+        let Some(mut client) = self.client(&to.address) else {
+            return;
+        };
+        let (events, clock) = (self.events.clone(), self.clock);
+        self.runtime.spawn(async move {
+            let beat = wire::Beat {
+                incarnation: to.incarnation,
+                epoch,
+            };
+            let sent = clock.mono();
+            let call = client.heartbeat(beat);
+            if let Ok(Ok(answer)) = tokio::time::timeout(BEAT_TIMEOUT, call).await {
+                let epoch = answer.into_inner().epoch;
+                let _ended = events.send(Event::BeatAnswered {
+                    member: to,
+                    epoch,
+                    sent,
+                });
+            }
+        });
+    }
+
+    /// Passes a question on to a job's coordinator.
+    pub fn forward(&self, waiter: Waiter, to: &Member, question: Question) {
+        let lost = Event::ForwardLost { waiter };
+        let Some(mut client) = self.client(&to.address) else {
+            let _ended = self.events.send(lost);
+            return;
+        };
+        let (events, waiters) = (self.events.clone(), self.waiters.clone());
+        self.runtime.spawn(async move {
+            let id = question.id();
+            let reply = client.ask(encode::question(question)).await;
+            let reply = reply.ok().map(Response::into_inner);
+            match reply.and_then(|reply| decode::reply(&id, reply).ok()) {
+                Some(reply) => {
+                    waiters.reply(waiter, id, reply);
+                    let _ended = events.send(Event::ForwardAnswered { waiter });
+                }
+                None => {
+                    let _ended = events.send(lost);
+                }
+            }
+        });
+    }
+
+    fn client(&self, address: &str) -> Option<PeerClient<Channel>> {
+        let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(channel) = channels.get(address) {
+            return Some(sized(channel.clone()));
+        }
+        let endpoint = Endpoint::from_shared(format!("http://{address}"))
+            .ok()?
+            .connect_timeout(BEAT_TIMEOUT)
+            .http2_keep_alive_interval(PING)
+            .keep_alive_timeout(PING);
+        let _context = self.runtime.enter();
+        let channel = endpoint.connect_lazy();
+        channels.insert(address.to_owned(), channel.clone());
+        Some(sized(channel))
+    }
+}
+
+fn sized(channel: Channel) -> PeerClient<Channel> {
+    PeerClient::new(channel).max_decoding_message_size(MESSAGE_BYTES)
+}
+
+#[tonic::async_trait]
+impl Link for Peers {
+    type AttachStream = Pin<Box<dyn Stream<Item = Result<wire::Order, Status>> + Send>>;
+
+    async fn attach(
+        &self,
+        request: Request<Streaming<wire::Report>>,
+    ) -> Result<Response<Self::AttachStream>, Status> {
+        let link = self.next_link.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = mpsc::unbounded_channel();
+        self.streams
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(link, sender);
+        tokio::spawn(self.clone().read_reports(link, request.into_inner()));
+        let orders = UnboundedReceiverStream::new(receiver).map(Ok);
+        Ok(Response::new(Box::pin(orders)))
+    }
+}
+
+impl Peers {
+    async fn read_reports(self, link: u64, mut reports: Streaming<wire::Report>) {
+        while let Ok(Some(report)) = reports.message().await {
+            self.metrics.reports.inc();
+            match decode::report(report) {
+                Ok(report) => {
+                    for outcome in &report.outcomes {
+                        let wait = Duration::from_micros(outcome.queue_us).as_secs_f64();
+                        self.metrics.queue_wait.observe(wait);
+                    }
+                    let _ended = self.events.send(Event::Reported { link, report });
+                }
+                Err(error) => {
+                    self.metrics.malformed.inc();
+                    log::warn!("peers: A report was refused: {error}.");
+                }
+            }
+        }
+        self.streams
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(&link);
+        let _ended = self.events.send(Event::Detached { link });
+    }
+}
+
+#[tonic::async_trait]
+impl Peer for Peers {
+    async fn heartbeat(
+        &self,
+        request: Request<wire::Beat>,
+    ) -> Result<Response<wire::BeatAnswer>, Status> {
+        let beat = request.into_inner();
+        if beat.incarnation != self.incarnation {
+            return Err(Status::failed_precondition("another incarnation was asked"));
+        }
+        let (waiter, answer) = self.waiters.add_beat();
+        let _ended = self.events.send(Event::Beat {
+            waiter,
+            epoch: beat.epoch,
+        });
+        let epoch = answer
+            .await
+            .map_err(|_gone| Status::unavailable("the entry stops"))?;
+        Ok(Response::new(wire::BeatAnswer { epoch }))
+    }
+
+    async fn ask(&self, request: Request<wire::Question>) -> Result<Response<wire::Reply>, Status> {
+        let question = decode::question(request.into_inner()).map_err(|error| {
+            self.metrics.malformed.inc();
+            Status::invalid_argument(error.to_string())
+        })?;
+        let id = question.id();
+        let (waiter, answer) = self.waiters.add_peer();
+        let _ended = self.events.send(event(waiter, question));
+        let answer = answer
+            .await
+            .map_err(|_gone| Status::unavailable("the entry stops"))?;
+        match answer {
+            Some(reply) => Ok(Response::new(encode_reply(&id, reply))),
+            None => Err(Status::failed_precondition(
+                "another entry coordinates the job",
+            )),
+        }
+    }
+}
+
+fn event(waiter: Waiter, question: Question) -> Event {
+    let forwarded = true;
+    match question {
+        Question::Submit(spec) => Event::Submit {
+            waiter,
+            spec,
+            origin: Origin::Forwarded,
+        },
+        Question::Get(id) => Event::Get {
+            waiter,
+            id,
+            forwarded,
+        },
+        Question::Cancel(id) => Event::Cancel {
+            waiter,
+            id,
+            forwarded,
+        },
+        Question::Trace(id) => Event::Trace {
+            waiter,
+            id,
+            forwarded,
+        },
+    }
+}
+
+fn encode_reply(id: &Id, reply: decode::Reply) -> wire::Reply {
+    match reply {
+        decode::Reply::Answer(answer) => encode::answer(id, answer),
+        decode::Reply::Trace(trace) => encode::trace(id, trace),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/responder.rs
@@ -0,0 +1,267 @@
+//! Those who wait for an answer, and the writing of it.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+
+use anyhow::Result;
+use bytes::Bytes;
+use crossbeam::channel::Sender;
+use ibisspool_core::entry::{Step, Waiter};
+use ibisspool_core::job::{Answer, Id};
+use ibisspool_core::refusal::{Reason, Refusal};
+use ibisspool_kernel::http::{self, Reply};
+use ibisspool_kernel::part::{Kernel, Name};
+use ibisspool_wire::decode;
+use serde_json::json;
+use serde_json::value::RawValue;
+use tokio::sync::oneshot;
+
+use crate::metrics::Metrics;
+
+/// Threads that write answers; a caller that reads slowly holds one of them up.
+const THREADS: usize = 8;
+
+/// How a caller wants the answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Form {
+    /// A job's results as one JSON object.
+    Job,
+    /// The one output as it is.
+    Request,
+}
+
+/// Someone who waits for an answer.
+#[derive(Debug)]
+enum Waiting {
+    Caller {
+        request: tiny_http::Request,
+        form: Form,
+        since: Instant,
+    },
+    Peer(oneshot::Sender<Option<decode::Reply>>),
+    Beat(oneshot::Sender<u64>),
+}
+
+/// An answer on its way out.
+#[derive(Debug)]
+pub struct Outgoing {
+    request: tiny_http::Request,
+    form: Form,
+    since: Instant,
+    id: Id,
+    reply: decode::Reply,
+}
+
+/// The table of those who wait. Clones share it.
+#[derive(Debug, Clone)]
+pub struct Waiters {
+    next: Arc<AtomicU64>,
+    waiting: Arc<Mutex<HashMap<Waiter, Waiting>>>,
+    outgoing: Sender<Outgoing>,
+}
+
+impl Waiters {
+    /// Makes the table and starts the threads that write answers.
+    ///
+    /// # Errors
+    /// Never fails once the mailbox is registered here.
+    pub fn start(kernel: &Kernel, metrics: &Metrics) -> Result<Self> {
+        let mailbox = kernel.register::<Outgoing>(Name::Responder);
+        for _thread in 0..THREADS {
+            let mailbox = mailbox.clone();
+            let metrics = metrics.clone();
+            kernel.spawn(Name::Responder, move || {
+                while let Ok(outgoing) = mailbox.recv() {
+                    respond(outgoing, &metrics);
+                }
+            });
+        }
+        Ok(Self {
+            next: Arc::new(AtomicU64::new(1)),
+            waiting: Arc::new(Mutex::new(HashMap::new())),
+            outgoing: kernel.find(Name::Responder)?,
+        })
+    }
+
+    fn insert(&self, waiting: Waiting) -> Waiter {
+        let waiter = Waiter(self.next.fetch_add(1, Ordering::Relaxed));
+        self.table().insert(waiter, waiting);
+        waiter
+    }
+
+    fn table(&self) -> std::sync::MutexGuard<'_, HashMap<Waiter, Waiting>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns how many wait.
+    pub fn len(&self) -> usize {
+        self.table().len()
+    }
+
+    /// Returns whether nobody waits.
+    pub fn is_empty(&self) -> bool {
+        self.table().is_empty()
+    }
+
+    /// Adds a caller.
+    pub fn add_caller(&self, request: tiny_http::Request, form: Form) -> Waiter {
+        self.insert(Waiting::Caller {
+            request,
+            form,
+            since: Instant::now(),
+        })
+    }
+
+    /// Adds another entry's question; its answer is `None` if this entry is not the coordinator.
+    pub fn add_peer(&self) -> (Waiter, oneshot::Receiver<Option<decode::Reply>>) {
+        let (sender, receiver) = oneshot::channel();
+        (self.insert(Waiting::Peer(sender)), receiver)
+    }
+
+    /// Adds another entry's heartbeat.
+    pub fn add_beat(&self) -> (Waiter, oneshot::Receiver<u64>) {
+        let (sender, receiver) = oneshot::channel();
+        (self.insert(Waiting::Beat(sender)), receiver)
+    }
+
+    /// Answers with the end of a job.
+    pub fn answer(&self, waiter: Waiter, id: Id, answer: Answer) {
+        self.reply(waiter, id, decode::Reply::Answer(answer));
+    }
+
+    /// Answers with what happened to a job.
+    pub fn traced(&self, waiter: Waiter, id: Id, steps: &[Step]) {
+        let trace = serde_json::to_vec(steps).unwrap_or_default();
+        self.reply(waiter, id, decode::Reply::Trace(Bytes::from(trace)));
+    }
+
+    /// Passes an answer on to whoever waits.
+    pub fn reply(&self, waiter: Waiter, id: Id, reply: decode::Reply) {
+        let waiting = self.table().remove(&waiter);
+        match waiting {
+            Some(Waiting::Caller {
+                request,
+                form,
+                since,
+            }) => {
+                let _ended = self.outgoing.send(Outgoing {
+                    request,
+                    form,
+                    since,
+                    id,
+                    reply,
+                });
+            }
+            Some(Waiting::Peer(sender)) => {
+                let _gone = sender.send(Some(reply));
+            }
+            Some(Waiting::Beat(_)) | None => {}
+        }
+    }
+
+    /// Tells another entry that this one is not the coordinator.
+    pub fn misdirected(&self, waiter: Waiter) {
+        if let Some(Waiting::Peer(sender)) = self.table().remove(&waiter) {
+            let _gone = sender.send(None);
+        }
+    }
+
+    /// Answers a heartbeat.
+    pub fn beat(&self, waiter: Waiter, epoch: u64) {
+        if let Some(Waiting::Beat(sender)) = self.table().remove(&waiter) {
+            let _gone = sender.send(epoch);
+        }
+    }
+}
+
+fn respond(outgoing: Outgoing, metrics: &Metrics) {
+    let Outgoing {
+        request,
+        form,
+        since,
+        id,
+        reply,
+    } = outgoing;
+    metrics.response.observe(since.elapsed().as_secs_f64());
+    let mut response = match &reply {
+        decode::Reply::Answer(Answer::Complete(outputs)) => complete(&id, outputs, form),
+        decode::Reply::Answer(Answer::Refused(refusal)) => refused(refusal, Some(&id), metrics),
+        decode::Reply::Trace(steps) => trace(&id, steps),
+    };
+    if let Some(location) = http::header("Location", &format!("/v1/jobs/{id}")) {
+        response.add_header(location);
+    }
+    http::send(request, response);
+}
+
+/// Makes the problem answer of a refusal and counts it.
+pub fn refused(refusal: &Refusal, id: Option<&Id>, metrics: &Metrics) -> Reply {
+    metrics
+        .refusals
+        .with_label_values(&[<&str>::from(refusal.reason)])
+        .inc();
+    let id = id.map(ToString::to_string);
+    http::problem(status(refusal.reason), refusal, id.as_deref())
+}
+
+fn complete(id: &Id, outputs: &[Bytes], form: Form) -> Reply {
+    if form == Form::Request {
+        let body = outputs
+            .first()
+            .map(|output| output.to_vec())
+            .unwrap_or_default();
+        return http::reply(200, "application/octet-stream", body);
+    }
+    let mut body = format!("{{\"id\":\"{id}\",\"state\":\"complete\",\"results\":[").into_bytes();
+    for (index, output) in outputs.iter().enumerate() {
+        if index > 0 {
+            body.push(b',');
+        }
+        body.extend_from_slice(format!("{{\"index\":{index},\"output\":").as_bytes());
+        push_json(&mut body, output);
+        body.push(b'}');
+    }
+    body.extend_from_slice(b"]}");
+    http::reply(200, "application/json", body)
+}
+
+/// Appends an output as it is if it is JSON, else as a JSON string.
+fn push_json(body: &mut Vec<u8>, output: &Bytes) {
+    if serde_json::from_slice::<&RawValue>(output).is_ok() {
+        body.extend_from_slice(output);
+    } else {
+        let text = serde_json::Value::from(String::from_utf8_lossy(output));
+        body.extend_from_slice(text.to_string().as_bytes());
+    }
+}
+
+fn trace(id: &Id, steps: &Bytes) -> Reply {
+    let steps = serde_json::from_slice::<serde_json::Value>(steps).unwrap_or_default();
+    http::json(200, &json!({ "id": id.to_string(), "steps": steps }))
+}
+
+/// Returns the HTTP status of a reason.
+pub fn status(reason: Reason) -> u16 {
+    match reason {
+        Reason::Malformed | Reason::IdFromFuture | Reason::TimeoutOutOfRange => 400,
+        Reason::Unauthorized => 401,
+        Reason::UnknownKind | Reason::NotFound => 404,
+        Reason::IdReused | Reason::Cancelled => 409,
+        Reason::IdTooOld => 410,
+        Reason::TooLarge => 413,
+        Reason::OverQuota => 429,
+        Reason::CoordinatorLost
+        | Reason::HistoryLost
+        | Reason::TaskFailed
+        | Reason::OutcomeUnknown => 502,
+        Reason::QueueFull
+        | Reason::NoBackend
+        | Reason::CannotEndInTime
+        | Reason::NoLease
+        | Reason::Leaving
+        | Reason::TableFull => 503,
+        Reason::TimedOut => 504,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/serve.rs
@@ -0,0 +1,146 @@
+//! Runs an entry: starts the parts, waits for the stop, finishes what it holds.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use anyhow::{Context as _, Result};
+use crossbeam::channel::Sender;
+use ibisspool_core::control::Member;
+use ibisspool_core::entry::{Entry, Event};
+use ibisspool_kernel::clock::Clock;
+use ibisspool_kernel::part::{Kernel, Name};
+use ibisspool_kernel::{http, signal};
+use tokio::runtime::{Builder, Runtime};
+
+use crate::callers::{self, Context};
+use crate::decider::Decider;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::responder::Waiters;
+use crate::settings::Settings;
+use crate::store;
+
+/// Threads for the streams to the other processes.
+const PEER_THREADS: usize = 2;
+
+/// Time for the last answers to leave after the entry is drained.
+const LINGER: Duration = Duration::from_millis(200);
+
+/// A running entry.
+#[derive(Debug)]
+pub struct Running {
+    /// Address for callers.
+    pub address: SocketAddr,
+    /// Address for agents and other entries.
+    pub peer_address: SocketAddr,
+    events: Sender<Event>,
+    decider: JoinHandle<()>,
+    runtime: Runtime,
+}
+
+impl Running {
+    /// Returns a closure that asks for a planned stop.
+    pub fn stopper(&self) -> impl FnOnce() + Send + 'static {
+        let events = self.events.clone();
+        move || {
+            let _ended = events.send(Event::Stop);
+        }
+    }
+
+    /// Waits until the entry has stopped and everything it held is finished.
+    pub fn wait(self) {
+        let _panicked = self.decider.join();
+        std::thread::sleep(LINGER);
+        self.runtime.shutdown_background();
+    }
+}
+
+/// Runs an entry until a signal stops it.
+///
+/// # Errors
+/// Fails if the entry cannot start.
+pub fn run(settings: &Settings) -> Result<()> {
+    let name = &settings.name;
+    let running = start(settings)?;
+    log::info!(
+        "serve: Entry {name} listens on {} for callers and {} for its peers.",
+        running.address,
+        running.peer_address
+    );
+    signal::on_stop(running.stopper())?;
+    running.wait();
+    log::info!("serve: Entry {name} has stopped.");
+    Ok(())
+}
+
+/// Starts an entry.
+///
+/// # Errors
+/// Fails if an address cannot be listened on.
+pub fn start(settings: &Settings) -> Result<Running> {
+    let kernel = Kernel::new();
+    let clock = Clock::new();
+    let metrics = Metrics::new();
+    let ready = Arc::new(AtomicBool::new(false));
+    let incarnation = rand::random::<u64>();
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(PEER_THREADS)
+        .thread_name("peers")
+        .enable_all()
+        .build()
+        .context("cannot start the runtime of the peers")?;
+
+    let mailbox = kernel.register::<Event>(Name::Decider);
+    let events = kernel.find::<Event>(Name::Decider)?;
+    let waiters = Waiters::start(&kernel, &metrics)?;
+    let handle = runtime.handle().clone();
+    let peers = Peers::new(
+        handle,
+        events.clone(),
+        waiters.clone(),
+        metrics.clone(),
+        clock,
+        incarnation,
+    );
+    let peer_address = peers.serve(settings.peer_listen)?;
+    store::start(&kernel, &settings.platform, clock, &metrics)?;
+
+    let me = Member {
+        name: settings.name.clone(),
+        incarnation,
+        address: peer_address.to_string(),
+        data_centre: settings.data_centre.clone(),
+    };
+    let decider = Decider {
+        entry: Entry::new(me, settings.timing, settings.bounds, incarnation),
+        clock,
+        peers,
+        waiters: waiters.clone(),
+        store: kernel.find(Name::Store)?,
+        metrics: metrics.clone(),
+        ready: Arc::clone(&ready),
+    };
+    let decider = kernel.spawn(Name::Decider, move || decider.run(&mailbox));
+
+    let context = Context {
+        events: events.clone(),
+        waiters,
+        metrics,
+        ready,
+        body_bytes: settings.body_bytes,
+        max_waiters: settings.bounds.waiters,
+    };
+    let address = http::serve(&kernel, settings.listen, move |request| {
+        callers::handle(&context, request);
+    })?;
+    Ok(Running {
+        address,
+        peer_address,
+        events,
+        decider,
+        runtime,
+    })
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,170 @@
+//! Settings of an entry with their defaults.
+
+use std::net::SocketAddr;
+
+use clap::{ArgMatches, Command};
+use ibisspool_core::settings::{Bounds, Timing};
+use ibisspool_kernel::log::Format;
+use ibisspool_kernel::settings::{Error, flag, read, read_name, read_within};
+
+const MILLIS_PER_DAY: u64 = 86_400_000;
+
+/// Checked settings of an entry.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of the entry, unique in the region.
+    pub name: String,
+    /// Data centre of the entry.
+    pub data_centre: String,
+    /// Address for callers, operators and metrics.
+    pub listen: SocketAddr,
+    /// Address for agents and other entries.
+    pub peer_listen: SocketAddr,
+    /// Base URL of the platform's table service.
+    pub platform: String,
+    /// Form of the log lines.
+    pub log_format: Format,
+    /// Least level of the log lines, or a filter such as `info,ibisspool=debug`.
+    pub log_level: String,
+    /// Most bytes of one HTTP body.
+    pub body_bytes: usize,
+    /// Shared durations.
+    pub timing: Timing,
+    /// Bounds on the tables.
+    pub bounds: Bounds,
+}
+
+impl Settings {
+    /// Makes settings for an entry with the defaults for the rest.
+    pub fn new(name: &str, data_centre: &str, platform: &str) -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            name: name.to_owned(),
+            data_centre: data_centre.to_owned(),
+            listen: any,
+            peer_listen: any,
+            platform: platform.to_owned(),
+            log_format: Format::Text,
+            log_level: "info".to_owned(),
+            body_bytes: 32 << 20,
+            timing: Timing::default(),
+            bounds: Bounds::default(),
+        }
+    }
+
+    /// Adds the flags to a command.
+    pub fn add_flags(command: Command) -> Command {
+        let d = Self::new("", "", "");
+        let number = |value: usize| value.to_string();
+        command
+            .arg(flag("name", "NAME", "Name of this entry, unique in the region").required(true))
+            .arg(flag("data-centre", "NAME", "Data centre of this entry").required(true))
+            .arg(
+                flag(
+                    "listen",
+                    "IP:PORT",
+                    "Address for callers, operators and metrics",
+                )
+                .default_value("127.0.0.1:8080"),
+            )
+            .arg(
+                flag(
+                    "peer-listen",
+                    "IP:PORT",
+                    "Address for agents and other entries",
+                )
+                .default_value("127.0.0.1:8081"),
+            )
+            .arg(
+                flag(
+                    "platform",
+                    "URL",
+                    "Base URL of the platform's table service",
+                )
+                .required(true),
+            )
+            .arg(
+                flag("log-format", "FORM", "Form of the log lines: text or json")
+                    .default_value("text"),
+            )
+            .arg(flag("log-level", "LEVEL", "Least level, or a filter").default_value("info"))
+            .arg(
+                flag("body-bytes", "BYTES", "Most bytes of one HTTP body")
+                    .default_value(number(d.body_bytes)),
+            )
+            .arg(
+                flag(
+                    "window-ms",
+                    "MS",
+                    "How long ids are remembered; every timeout is at most half of it",
+                )
+                .default_value(d.timing.window.as_millis().to_string()),
+            )
+            .arg(
+                flag("max-jobs", "COUNT", "Jobs remembered, running and ended")
+                    .default_value(number(d.bounds.jobs)),
+            )
+            .arg(
+                flag("max-waiters", "COUNT", "Callers that wait for an answer")
+                    .default_value(number(d.bounds.waiters)),
+            )
+            .arg(
+                flag(
+                    "max-queued-tasks",
+                    "COUNT",
+                    "Tasks that wait for a backend server",
+                )
+                .default_value(number(d.bounds.queued_tasks)),
+            )
+            .arg(
+                flag(
+                    "max-tasks-per-job",
+                    "COUNT",
+                    "Tasks in one job, unless the kind says otherwise",
+                )
+                .default_value(number(d.bounds.tasks_per_job)),
+            )
+            .arg(
+                flag(
+                    "max-input-bytes",
+                    "BYTES",
+                    "Bytes of one input, unless the kind says otherwise",
+                )
+                .default_value(number(d.bounds.input_bytes)),
+            )
+    }
+
+    /// Reads and checks the flags.
+    ///
+    /// # Errors
+    /// Fails on the first setting that is not allowed.
+    pub fn read(matches: &ArgMatches) -> Result<Self, Error> {
+        let text = |name: &str| read::<String>(matches, name, "any text");
+        let count = |name: &str| read_within(matches, name, 1, 1 << 40).map(|n| n as usize);
+        let mut settings = Self::new(
+            &read_name(matches, "name")?,
+            &read_name(matches, "data-centre")?,
+            &text("platform")?,
+        );
+        if !settings.platform.starts_with("http://") {
+            return Err(Error::new(
+                "platform",
+                &settings.platform,
+                "a URL such as http://10.0.0.1:7000",
+            ));
+        }
+        settings.listen = read(matches, "listen", "an address such as 10.0.0.1:8080")?;
+        settings.peer_listen = read(matches, "peer-listen", "an address such as 10.0.0.1:8081")?;
+        settings.log_format = read(matches, "log-format", "text or json")?;
+        settings.log_level = text("log-level")?;
+        settings.body_bytes = count("body-bytes")?;
+        let window = read_within(matches, "window-ms", 10_000, MILLIS_PER_DAY)?;
+        settings.timing.window = std::time::Duration::from_millis(window);
+        settings.bounds.jobs = count("max-jobs")?;
+        settings.bounds.waiters = count("max-waiters")?;
+        settings.bounds.queued_tasks = count("max-queued-tasks")?;
+        settings.bounds.tasks_per_job = count("max-tasks-per-job")?;
+        settings.bounds.input_bytes = count("max-input-bytes")?;
+        Ok(settings)
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,8 @@
+//! What all processes of ibisspool share: named parts with mailboxes, clock, logs, HTTP, signals.
+
+pub mod clock;
+pub mod http;
+pub mod log;
+pub mod part;
+pub mod settings;
+pub mod signal;
--- /dev/null
+++ b/crates/kernel/src/signal.rs
@@ -0,0 +1,31 @@
+//! Signals that stop a process.
+
+use std::thread;
+
+use anyhow::{Context, Result};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+/// Exit code after a second signal.
+const INTERRUPTED: i32 = 130;
+
+/// Calls `stop` at the first SIGTERM or SIGINT; a second one ends the process.
+///
+/// # Errors
+/// Fails if the system refuses the handler.
+pub fn on_stop<F>(stop: F) -> Result<()>
+where
+    F: FnOnce() + Send + 'static,
+{
+    let mut signals = Signals::new([SIGTERM, SIGINT]).context("cannot listen for signals")?;
+    thread::spawn(move || {
+        let mut arrived = signals.forever();
+        if arrived.next().is_some() {
+            stop();
+        }
+        if arrived.next().is_some() {
+            std::process::exit(INTERRUPTED);
+        }
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,6 @@
+//! Stand-ins for the systems around ibisspool, for development only.
+
+pub mod backend;
+pub mod caller;
+pub mod local;
+pub mod platform;
