fix(http): survive absurd lengths, half-sent requests and header floods

Half-sent requests held a thread for good, since tiny_http has no timeouts, and a failed accept ended its listener for good. Ruled out: refusing by body length alone (the drop comes after the refusal); draining first (the caller decides how long that takes). Change: timeouts on the listening socket, which accepted connections inherit; wake-up connections; a taken-over listener; a bound on headers; requests with absurd lengths are answered and never dropped; long bodies have threads of their own.

--- a/crates/agent/src/announce.rs
+++ b/crates/agent/src/announce.rs
@@ -111,8 +111,7 @@
 }
 
 fn read(context: &Context, request: &mut Request) -> Result<Announcement, String> {
-    let body = http::read_body(request, BODY_BYTES)
-        .ok_or_else(|| format!("the body broke off or is over {BODY_BYTES} bytes"))?;
+    let body = http::read_body(request, BODY_BYTES).map_err(|error| error.to_string())?;
     let announcement: Announcement = serde_json::from_slice(&body)
         .map_err(|error| format!("the body is not an announcement: {error}"))?;
     if !(1..=context.max_slots).contains(&announcement.slots) {
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -10,7 +10,7 @@
 use ibisspool_core::job::{Id, Spec};
 use ibisspool_core::refusal::{Ran, Reason, Refusal};
 use ibisspool_core::time::Wall;
-use ibisspool_kernel::http;
+use ibisspool_kernel::http::{self, BodyError};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use tiny_http::{Method, Request};
@@ -204,12 +204,12 @@
 }
 
 fn read_body(context: &Context, request: &mut Request, ran: Ran) -> Result<Vec<u8>, Refusal> {
-    http::read_body(request, context.body_bytes).ok_or_else(|| {
-        let detail = format!(
-            "the body broke off or is over {} bytes; send fewer tasks in one job",
-            context.body_bytes
-        );
-        Refusal::new(Reason::TooLarge, ran, detail)
+    http::read_body(request, context.body_bytes).map_err(|error| {
+        let reason = match error {
+            BodyError::TooLong(_) => Reason::TooLarge,
+            BodyError::BrokenOff | BodyError::TooSlow => Reason::Malformed,
+        };
+        Refusal::new(reason, ran, error.to_string())
     })
 }
 
--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -1,22 +1,55 @@
 //! The HTTP edge: listening, reading bodies, problem answers.
+//!
+//! `tiny_http` gives each connection a thread and has no timeouts. The guards around it stand in
+//! `listener`.
 
-use std::io::{Cursor, Read};
-use std::net::{SocketAddr, TcpListener};
+mod listener;
+
+use std::io::Cursor;
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use anyhow::{Context, Result, anyhow};
+use anyhow::Result;
+use crossbeam::channel::unbounded;
 use ibisspool_core::refusal::Refusal;
 use serde::Serialize;
-use tiny_http::{Header, Request, Response, Server};
+use thiserror::Error;
+use tiny_http::{Header, Method, Request, Response};
 
 use crate::part::{Kernel, Name};
 
 /// A response whose body stands in memory.
 pub type Reply = Response<Cursor<Vec<u8>>>;
 
-/// Threads that read requests. Each takes whole requests only, so few are enough.
-const THREADS: usize = 4;
+/// Threads that handle requests whose body has arrived.
+const HANDLERS: usize = 4;
+
+/// Threads that read longer bodies and handle their requests; a slow body holds one of them up.
+const READERS: usize = 64;
+
+/// Longest body that `tiny_http` reads before it hands a request out, in bytes.
+const READ_AHEAD: usize = 1_024;
+
+/// Time within which a whole body must arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Bytes read from a body at once.
+const CHUNK: usize = 64 << 10;
+
+/// Why a body could not be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum BodyError {
+    /// It is longer than allowed.
+    #[error("the body is over {0} bytes; send less at once")]
+    TooLong(usize),
+    /// It broke off.
+    #[error("the body broke off; send as many bytes as Content-Length names")]
+    BrokenOff,
+    /// It did not arrive in time.
+    #[error("the body did not arrive within {} s; send it faster", BODY_TIMEOUT.as_secs())]
+    TooSlow,
+}
 
 /// Serves requests with `handle` in threads of their own.
 ///
@@ -26,19 +59,25 @@
 where
     F: Fn(Request) + Send + Sync + 'static,
 {
-    let listener = TcpListener::bind(address)
-        .with_context(|| format!("cannot listen on {address}; choose a free address"))?;
-    let bound = listener
-        .local_addr()
-        .context("the listener has no address")?;
-    let server = Server::from_listener(listener, None).map_err(|error| anyhow!("{error}"))?;
-    let server = Arc::new(server);
+    let (arrived, handled) = unbounded::<Request>();
+    let (arriving, read) = unbounded::<Request>();
+    let route = move |request: Request| {
+        let short = request
+            .body_length()
+            .is_some_and(|length| length <= READ_AHEAD);
+        let queue = if short || is_bodiless(&request) {
+            &arrived
+        } else {
+            &arriving
+        };
+        let _ended = queue.send(request);
+    };
+    let bound = listener::start(kernel, address, Arc::new(route))?;
     let handle = Arc::new(handle);
-    for _thread in 0..THREADS {
-        let server = Arc::clone(&server);
+    for queue in [vec![handled; HANDLERS], vec![read; READERS]].concat() {
         let handle = Arc::clone(&handle);
         kernel.spawn(Name::Http, move || {
-            while let Ok(request) = server.recv() {
+            while let Ok(request) = queue.recv() {
                 handle(request);
             }
         });
@@ -46,15 +85,43 @@
     Ok(bound)
 }
 
-/// Reads a body of at most `limit` bytes, `None` if it is longer or breaks off.
-pub fn read_body(request: &mut Request, limit: usize) -> Option<Vec<u8>> {
-    if request.body_length().is_some_and(|length| length > limit) {
-        return None;
+fn is_bodiless(request: &Request) -> bool {
+    matches!(
+        request.method(),
+        Method::Get | Method::Delete | Method::Head
+    ) && request.body_length().unwrap_or(0) == 0
+}
+
+/// Reads a body of at most `limit` bytes.
+///
+/// # Errors
+/// Fails if the body is longer, breaks off or arrives too slowly.
+pub fn read_body(request: &mut Request, limit: usize) -> Result<Vec<u8>, BodyError> {
+    let length = request.body_length();
+    if length.is_some_and(|length| length > limit) {
+        return Err(BodyError::TooLong(limit));
+    }
+    let deadline = Instant::now() + BODY_TIMEOUT;
+    let mut body = Vec::with_capacity(length.unwrap_or(0));
+    let mut chunk = vec![0; CHUNK.min(limit + 1)];
+    loop {
+        let read = request.as_reader().read(&mut chunk);
+        let count = read.map_err(|_error| BodyError::BrokenOff)?;
+        body.extend_from_slice(&chunk[..count]);
+        if body.len() > limit {
+            return Err(BodyError::TooLong(limit));
+        }
+        if count == 0 {
+            break;
+        }
+        if Instant::now() > deadline {
+            return Err(BodyError::TooSlow);
+        }
+    }
+    if length.is_some_and(|length| length > body.len()) {
+        return Err(BodyError::BrokenOff);
     }
-    let mut body = Vec::new();
-    let mut reader = request.as_reader().take(limit as u64 + 1);
-    reader.read_to_end(&mut body).ok()?;
-    (body.len() <= limit).then_some(body)
+    Ok(body)
 }
 
 /// Makes a header; the name and value are ASCII text of this program.
--- /dev/null
+++ b/crates/kernel/src/http/listener.rs
@@ -0,0 +1,149 @@
+//! Guards around `tiny_http`.
+//!
+//! - Timeouts: the listening socket carries them, and Linux hands them on to each accepted
+//!   connection, so that a half-sent request or a caller that does not read frees its thread.
+//!   `accept` itself then times out too, and `tiny_http` would give up, which the wake-up
+//!   connections prevent.
+//! - Starvation: `tiny_http` queues a connection behind an idle thread that another connection
+//!   has already claimed; it stays there until some connection closes. A wake-up connection
+//!   makes a thread that serves the queued one.
+//! - Absurd lengths: `tiny_http` allocates as many bytes as `Content-Length` still names when it
+//!   drops a request, which ends the process. Such a request is answered and never dropped; its
+//!   connection and thread are lost.
+//! - Loss of the listener: when `accept` fails, for want of file descriptors or after a long
+//!   pause, `tiny_http` stops listening for good. A new server takes over the socket.
+
+use std::io::Write;
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use anyhow::{Context, Result, anyhow};
+use ibisspool_core::refusal::{Ran, Reason, Refusal};
+use socket2::SockRef;
+use tiny_http::{Request, Response, Server};
+
+use crate::part::{Kernel, Name};
+
+/// Time without a byte after which a connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time between wake-up connections.
+const WAKE_EVERY: Duration = Duration::from_millis(25);
+
+/// Time within which a wake-up connection must open.
+const WAKE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Length of a body that the library could not drop safely.
+const ABSURD_BYTES: usize = 1 << 30;
+
+/// Most headers of one request.
+const HEADERS: usize = 64;
+
+/// Most bytes of all headers of one request.
+const HEADER_BYTES: usize = 16 << 10;
+
+/// Pause before a failed listener is taken over.
+const TAKE_OVER_PAUSE: Duration = Duration::from_millis(100);
+
+/// Takes a request on to the threads that handle it.
+type Route = Arc<dyn Fn(Request) + Send + Sync>;
+
+/// Listens and passes requests on.
+pub(super) fn start(kernel: &Kernel, address: SocketAddr, route: Route) -> Result<SocketAddr> {
+    let listener = TcpListener::bind(address)
+        .with_context(|| format!("cannot listen on {address}; choose a free address"))?;
+    let bound = listener
+        .local_addr()
+        .context("the listener has no address")?;
+    let socket = SockRef::from(&listener);
+    socket
+        .set_read_timeout(Some(IDLE_TIMEOUT))
+        .context("cannot set the read timeout")?;
+    socket
+        .set_write_timeout(Some(IDLE_TIMEOUT))
+        .context("cannot set the write timeout")?;
+    socket
+        .set_tcp_nodelay(true)
+        .context("cannot send without delay")?;
+    accept(kernel, Arc::new(listener), route)?;
+    let target = wake_address(bound);
+    kernel.spawn(Name::Http, move || {
+        loop {
+            let _refused = TcpStream::connect_timeout(&target, WAKE_TIMEOUT);
+            thread::sleep(WAKE_EVERY);
+        }
+    });
+    Ok(bound)
+}
+
+/// Accepts connections in a thread; a failed server goes on with the connections that it has,
+/// and a new one takes over the listener.
+fn accept(kernel: &Kernel, listener: Arc<TcpListener>, route: Route) -> Result<()> {
+    let own = listener.try_clone().context("cannot share the listener")?;
+    let server = Server::from_listener(own, None).map_err(|error| anyhow!("{error}"))?;
+    let shared = kernel.clone();
+    kernel.spawn(Name::Http, move || {
+        loop {
+            match server.recv() {
+                Ok(request) if request.body_length() > Some(ABSURD_BYTES) => refuse_length(request),
+                Ok(request) if has_excess_headers(&request) => refuse_headers(request),
+                Ok(request) => route(request),
+                Err(error) => {
+                    log::warn!("http: The listener failed and is taken over: {error}.");
+                    thread::sleep(TAKE_OVER_PAUSE);
+                    if let Err(error) = accept(&shared, Arc::clone(&listener), Arc::clone(&route)) {
+                        log::error!("http: The listener could not be taken over: {error:#}.");
+                        return;
+                    }
+                }
+            }
+        }
+    });
+    Ok(())
+}
+
+fn refuse_length(request: Request) {
+    log::warn!(
+        "http: A request names a body of over {ABSURD_BYTES} bytes; its connection is kept."
+    );
+    let detail = format!("a body is at most {ABSURD_BYTES} bytes; send less at once");
+    let refusal = Refusal::new(Reason::TooLarge, Ran::Unknown, detail);
+    let body = serde_json::to_string(&refusal).unwrap_or_default();
+    // Only an upgrade hands out the connection, so an interim response precedes the real one.
+    let mut connection = request.upgrade("none", Response::empty(100));
+    let _gone = write!(
+        connection,
+        "HTTP/1.1 413 Payload Too Large\r\nContent-Type: application/problem+json\r\n\
+         Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let _gone = connection.flush();
+    std::mem::forget(connection);
+}
+
+fn has_excess_headers(request: &Request) -> bool {
+    let headers = request.headers();
+    let bytes: usize = headers
+        .iter()
+        .map(|h| h.field.as_str().as_str().len() + h.value.len())
+        .sum();
+    headers.len() > HEADERS || bytes > HEADER_BYTES
+}
+
+fn refuse_headers(request: Request) {
+    let detail = format!("more than {HEADERS} headers or {HEADER_BYTES} bytes of them; send fewer");
+    let refusal = Refusal::new(Reason::TooLarge, Ran::Unknown, detail);
+    super::send(request, super::problem(431, &refusal, None));
+}
+
+/// Returns the address at which this process reaches its own listener.
+fn wake_address(bound: SocketAddr) -> SocketAddr {
+    let ip = match bound.ip() {
+        IpAddr::V4(ip) if ip.is_unspecified() => IpAddr::V4(Ipv4Addr::LOCALHOST),
+        IpAddr::V6(ip) if ip.is_unspecified() => IpAddr::V6(Ipv6Addr::LOCALHOST),
+        ip => ip,
+    };
+    SocketAddr::new(ip, bound.port())
+}
