feat(core): hand moved ids over by inquiry

A coordinator without a record asks each previous coordinator that may have accepted the id. The answer carries the epoch of the one that was asked, which is its promise; nothing is kept for it. The time barrier now counts from when this entry saw the change in force. Get, cancel and trace take the same path, a leaving or removed entry finishes what it holds, and a replaced incarnation never rejoins.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod outcome;
 mod submit;
+mod takeover;
 mod trace;
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
@@ -26,6 +27,7 @@
 use crate::time::{Mono, Now};
 
 pub use submit::{Job, Key as JobKey, TaskState};
+pub use takeover::Findings;
 pub use trace::{Step, StepKind};
 
 /// A caller that waits for an answer; the edge that took the request chose the number.
@@ -120,6 +122,31 @@
         /// When the heartbeat was sent.
         sent: Mono,
     },
+    /// Another entry asks whether this one has a record of a job.
+    Inquired {
+        /// Who waits for the answer.
+        waiter: Waiter,
+        /// The job.
+        id: Id,
+        /// Epoch of the sender.
+        epoch: u64,
+    },
+    /// Another entry said whether it has a record of a job.
+    InquiryAnswered {
+        /// The entry and incarnation that was asked.
+        member: Member,
+        /// The job.
+        id: Id,
+        /// What it said.
+        findings: Findings,
+    },
+    /// Another entry did not say whether it has a record of a job.
+    InquiryLost {
+        /// The entry and incarnation that was asked.
+        member: Member,
+        /// The job.
+        id: Id,
+    },
     /// The control row was read.
     RowRead {
         /// When the read was sent.
@@ -200,6 +227,22 @@
         /// Epoch of this entry.
         epoch: u64,
     },
+    /// Ask another entry whether it has a record of a job.
+    Inquire {
+        /// The entry.
+        to: Member,
+        /// The job.
+        id: Id,
+        /// Epoch of this entry.
+        epoch: u64,
+    },
+    /// Tell another entry whether this one has a record of a job.
+    AnswerInquiry {
+        /// Who waits.
+        waiter: Waiter,
+        /// What this entry knows.
+        findings: Findings,
+    },
     /// Read the control row.
     ReadRow,
     /// Write the control row if its version is still `expect`.
@@ -261,6 +304,8 @@
     queue: VecDeque<(JobKey, u32)>,
     forwards: HashMap<Waiter, Question>,
     parked: Vec<control::Parked>,
+    inquiries: HashMap<Id, takeover::Inquiry>,
+    in_force: takeover::InForce,
     deadlines: BTreeSet<(Mono, JobKey)>,
     expiries: BTreeSet<(Mono, JobKey)>,
     heard: HashMap<String, Mono>,
@@ -270,6 +315,9 @@
     next_read: Mono,
     asked_epoch: u64,
     leaving: bool,
+    joined: bool,
+    left: Option<Mono>,
+    released: bool,
 }
 
 impl Entry {
@@ -293,6 +341,8 @@
             queue: VecDeque::new(),
             forwards: HashMap::new(),
             parked: Vec::new(),
+            inquiries: HashMap::new(),
+            in_force: takeover::InForce::new(),
             deadlines: BTreeSet::new(),
             expiries: BTreeSet::new(),
             heard: HashMap::new(),
@@ -302,6 +352,9 @@
             next_read: Mono(0),
             asked_epoch: 0,
             leaving: false,
+            joined: false,
+            left: None,
+            released: false,
         }
     }
 
@@ -339,7 +392,7 @@
             Event::ForwardAnswered { waiter } => {
                 self.forwards.remove(&waiter);
             }
-            Event::ForwardLost { waiter } => self.forward_lost(waiter, now),
+            Event::ForwardLost { waiter } => self.forward_lost(waiter, now, actions),
             Event::Reported { link, report } => self.reported(link, report, now, actions),
             Event::Detached { link } => self.detached(link, now),
             Event::Beat { waiter, epoch } => {
@@ -356,6 +409,21 @@
             } => {
                 self.beat_answered(&member, epoch, sent, now, actions);
             }
+            Event::Inquired { waiter, id, epoch } => {
+                self.inquired(waiter, &id, epoch, now, actions);
+            }
+            Event::InquiryAnswered {
+                member,
+                id,
+                findings,
+            } => {
+                self.inquiry_answered(&member, &id, findings, now, actions);
+                self.retry_parked(now, actions);
+            }
+            Event::InquiryLost { member, id } => {
+                self.inquiry_lost(&member, &id, now);
+                self.retry_parked(now, actions);
+            }
             Event::RowRead { sent, version, row } => {
                 self.row_read(sent, version, row, now, actions);
             }
@@ -382,20 +450,13 @@
 
     /// Returns whether this entry may decide, takes new work and knows the catalogue in force.
     pub fn is_ready(&self, now: Now) -> bool {
-        !self.leaving
-            && self.lease_basis(now).is_some()
-            && self.catalogue_version == self.row.catalogue
+        !self.leaving && self.may_decide(now) && self.catalogue_version == self.row.catalogue
     }
 
-    /// Returns whether a leaving entry has nothing left to finish.
+    /// Returns whether a leaving entry has nothing left to finish, and its successors have had
+    /// the time to ask it about the ids that they took over.
     pub fn is_drained(&self) -> bool {
-        self.leaving
-            && self.forwards.is_empty()
-            && self.jobs.values().all(Job::is_ended)
-            && self
-                .row
-                .member(&self.me.name)
-                .is_none_or(|m| m.incarnation != self.me.incarnation)
+        self.released && self.forwards.is_empty() && self.jobs.values().all(Job::is_ended)
     }
 
     /// Returns the control row that this entry has adopted.
--- a/crates/core/src/entry/control.rs
+++ b/crates/core/src/entry/control.rs
@@ -1,13 +1,11 @@
 //! Membership, lease and takeover at an entry.
 
-use super::submit::{Admission, no_lease};
 use super::{Action, Entry, Question, Waiter};
 use crate::catalogue::Catalogue;
 use crate::control::{Member, Row};
 use crate::job::{Answer, Id};
 use crate::placement::Agent;
 use crate::refusal::{Ran, Reason, Refusal};
-use crate::rendezvous;
 use crate::time::{Mono, Now};
 
 /// Time between reads of the control row.
@@ -22,80 +20,99 @@
 /// How long a question waits for a takeover or for a coordinator that does not answer.
 const PARK: std::time::Duration = std::time::Duration::from_secs(5);
 
+/// How long a leaving entry answers inquiries after its keys were taken over.
+const STAY: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// First pause before a parked question is asked again, if nothing happens that may answer it.
+const RETRY: std::time::Duration = std::time::Duration::from_millis(10);
+
+/// Longest pause before a parked question is asked again.
+const RETRY_MOST: std::time::Duration = std::time::Duration::from_millis(200);
+
 /// A question that cannot be answered yet.
 #[derive(Debug, Clone)]
 pub(super) struct Parked {
     waiter: Waiter,
     question: Question,
+    next: Mono,
+    pause: std::time::Duration,
     until: Mono,
 }
 
 impl Entry {
-    /// Returns when the question was sent on which a valid lease rests.
+    /// Returns when the question was sent that last showed this epoch to be the present one.
+    ///
+    /// An entry that is no member has such evidence too; it lets it finish the jobs it holds.
     pub(super) fn lease_basis(&self, now: Now) -> Option<Mono> {
-        self.lease
-            .basis(&self.me.name, &self.row, &self.timing, now.mono)
+        let me = self.is_member().then_some(self.me.name.as_str());
+        self.lease.evidence(me, &self.row, &self.timing, now.mono)
     }
 
-    /// Returns whether operators let tasks start on the agent.
-    pub(super) fn in_service(&self, agent: &Agent) -> bool {
-        !self.row.data_centres_out.contains(&agent.hello.data_centre)
-            && !self.row.backends_out.contains(&agent.hello.agent)
+    /// Returns whether this entry may accept jobs and say that nothing ran.
+    pub(super) fn may_decide(&self, now: Now) -> bool {
+        self.is_member() && self.lease_basis(now).is_some()
     }
 
-    /// Decides whether this entry may start an id that it has no record of.
-    pub(super) fn admit(&mut self, id: &Id, now: Now) -> Admission {
-        if self.lease_basis(now).is_none() {
-            return Admission::Refuse(no_lease());
-        }
-        if self.catalogue_version != self.row.catalogue {
-            return Admission::Wait;
-        }
-        if self.by_id.len() >= self.bounds.jobs {
-            return Admission::Refuse(Refusal::new(
-                Reason::TableFull,
-                Ran::Unknown,
-                "the table of remembered jobs is full; send the same id again later",
-            ));
-        }
-        if self
-            .takeover
-            .leasable()
-            .any(|row| !self.is_mine(&row.members, id))
-        {
-            return Admission::Wait;
-        }
-        let barrier = self.timing.skew + self.timing.lease;
-        let moved = self.row.past.iter().any(|past| {
-            id.created() <= past.ended.plus(barrier) && !self.is_mine(&past.members, id)
-        });
-        if moved {
-            return Admission::Refuse(Refusal::new(
-                Reason::HistoryLost,
-                Ran::Unknown,
-                "the job's previous coordinator is gone; check whether its work was done before you send a new id",
-            ));
-        }
-        Admission::Start
+    /// Returns whether this very process is a member.
+    pub(super) fn is_member(&self) -> bool {
+        let present = self.row.member(&self.me.name);
+        present.is_some_and(|member| self.is_me(member))
     }
 
-    fn is_mine(&self, members: &[Member], id: &Id) -> bool {
-        rendezvous::coordinator(members, id)
-            .is_none_or(|m| m.name == self.me.name && m.incarnation == self.me.incarnation)
+    /// Returns how long the row keeps an earlier set of members: as long as any entry takes an id
+    /// that the set may have accepted.
+    fn past_kept(&self) -> std::time::Duration {
+        let timing = &self.timing;
+        timing.window + timing.store_grace + timing.lease_margin + timing.skew * 4
+    }
+
+    /// Returns whether operators let tasks start on the agent.
+    pub(super) fn in_service(&self, agent: &Agent) -> bool {
+        !self.row.data_centres_out.contains(&agent.hello.data_centre)
+            && !self.row.backends_out.contains(&agent.hello.agent)
     }
 
     /// Keeps a question for a later try.
-    pub(super) fn park(&mut self, waiter: Waiter, question: Question, now: Now) {
+    pub(super) fn park(
+        &mut self,
+        waiter: Waiter,
+        question: Question,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.parked.len() >= self.bounds.waiters {
+            let refusal = super::takeover::too_many();
+            return super::submit::answer(waiter, question.id(), Answer::Refused(refusal), actions);
+        }
         self.parked.push(Parked {
             waiter,
             question,
+            next: now.mono.plus(RETRY),
+            pause: RETRY,
             until: now.mono.plus(PARK),
         });
     }
 
+    /// Makes all parked questions due.
+    pub(super) fn wake_parked(&mut self, now: Now) {
+        for parked in &mut self.parked {
+            parked.next = now.mono;
+        }
+    }
+
+    /// Makes the parked questions about a job due.
+    pub(super) fn wake_parked_of(&mut self, id: &Id, now: Now) {
+        for parked in &mut self.parked {
+            if parked.question.id() == *id {
+                parked.next = now.mono;
+            }
+        }
+    }
+
     pub(super) fn tick_control(&mut self, now: Now, actions: &mut Vec<Action>) {
         self.notice_pause(now);
-        self.takeover.settle(&self.timing, now.mono);
+        self.settle_takeover(now);
+        self.note_left(now);
         if now.mono >= self.next_beat {
             self.beat(now, actions);
         }
@@ -104,6 +121,7 @@
             actions.push(Action::ReadRow);
         }
         self.remove_silent(now, actions);
+        self.expire_inquiries(now);
         self.retry_parked(now, actions);
     }
 
@@ -120,12 +138,12 @@
     fn beat(&mut self, now: Now, actions: &mut Vec<Action>) {
         self.last_beat = now.mono;
         self.next_beat = now.mono.plus(self.timing.heartbeat);
-        let others = self
-            .row
-            .members
-            .iter()
-            .filter(|member| member.name != self.me.name);
-        actions.extend(others.map(|to| Action::Beat {
+        let earlier = self.takeover.leasable().flat_map(|row| &row.members);
+        let mut others: Vec<&Member> = self.row.members.iter().chain(earlier).collect();
+        others.sort_unstable_by_key(|member| (&member.name, member.incarnation));
+        others.dedup();
+        others.retain(|member| !self.is_me(member));
+        actions.extend(others.into_iter().map(|to| Action::Beat {
             to: to.clone(),
             epoch: self.row.epoch,
         }));
@@ -139,7 +157,7 @@
     }
 
     fn remove_silent(&mut self, now: Now, actions: &mut Vec<Action>) {
-        if self.row.member(&self.me.name).is_none() {
+        if !self.is_member() {
             return;
         }
         for member in &self.row.members {
@@ -153,7 +171,7 @@
                 member.incarnation,
                 &change,
                 now.wall,
-                self.timing.window,
+                self.past_kept(),
             );
             if let Some(row) = row {
                 self.heard.insert(member.name.clone(), now.mono);
@@ -165,28 +183,33 @@
         }
     }
 
-    fn retry_parked(&mut self, now: Now, actions: &mut Vec<Action>) {
+    /// Asks again each parked question that is due, and gives up those that waited too long.
+    pub(super) fn retry_parked(&mut self, now: Now, actions: &mut Vec<Action>) {
         for parked in std::mem::take(&mut self.parked) {
-            let Parked {
-                waiter,
-                question,
-                until,
-            } = parked;
-            if now.mono < until {
-                let before = self.parked.len();
-                self.ask(waiter, question, false, now, actions);
-                if let Some(again) = self.parked.get_mut(before) {
-                    again.until = until;
-                }
-                continue;
+            if now.mono >= parked.until {
+                let refusal = Refusal::new(
+                    Reason::CoordinatorLost,
+                    Ran::Unknown,
+                    "the job's coordinator did not answer; send the same id again",
+                )
+                .with_retry_after_ms(1_000);
+                let id = parked.question.id();
+                super::submit::answer(parked.waiter, id, Answer::Refused(refusal), actions);
+            } else if now.mono >= parked.next {
+                self.retry(parked, now, actions);
+            } else {
+                self.parked.push(parked);
             }
-            let refusal = Refusal::new(
-                Reason::CoordinatorLost,
-                Ran::Unknown,
-                "the job's coordinator did not answer; send the same id again",
-            )
-            .with_retry_after_ms(1_000);
-            super::submit::answer(waiter, question.id(), Answer::Refused(refusal), actions);
+        }
+    }
+
+    fn retry(&mut self, parked: Parked, now: Now, actions: &mut Vec<Action>) {
+        let before = self.parked.len();
+        self.ask(parked.waiter, parked.question, false, now, actions);
+        if let Some(again) = self.parked.get_mut(before) {
+            again.until = parked.until;
+            again.pause = (parked.pause * 2).min(RETRY_MOST);
+            again.next = now.mono.plus(again.pause);
         }
     }
 
@@ -207,13 +230,15 @@
         now: Now,
         actions: &mut Vec<Action>,
     ) {
-        self.heard.insert(member.name.clone(), now.mono);
         self.takeover
             .confirm(&member.name, member.incarnation, epoch, now.mono);
         let asked = self
             .row
             .member(&member.name)
             .is_some_and(|m| m.incarnation == member.incarnation);
+        if asked {
+            self.heard.insert(member.name.clone(), now.mono);
+        }
         if asked && epoch == self.row.epoch {
             self.lease.confirm_by_peer(&member.name, sent);
         }
@@ -264,17 +289,18 @@
         let members = &self.row.members;
         self.heard
             .retain(|name, _at| members.iter().any(|m| m.name == *name));
+        self.wake_parked(now);
         self.beat(now, actions);
         self.announce_entries(actions);
     }
 
     /// Joins the members, or leaves them before a planned stop.
     fn keep_membership(&mut self, now: Now, actions: &mut Vec<Action>) {
-        let present = self
-            .row
-            .member(&self.me.name)
-            .is_some_and(|m| *m == self.me);
-        let (me, window) = (&self.me, self.timing.window);
+        let present = self.is_member();
+        self.joined |= present;
+        // A process that was replaced under its name only finishes what it holds.
+        self.leaving |= self.joined && !present && self.row.member(&self.me.name).is_some();
+        let (me, window) = (&self.me, self.past_kept());
         let row = match (present, self.leaving) {
             (false, false) => {
                 let change = format!("join-{}-{}", me.name, me.incarnation);
@@ -302,6 +328,18 @@
         }
     }
 
+    /// Notes how long a leaving entry has been out of the members. It stays for a while to tell
+    /// its successors that it holds no record of the ids that they ask for.
+    fn note_left(&mut self, now: Now) {
+        if !self.leaving || self.is_member() {
+            return;
+        }
+        let left = *self.left.get_or_insert(now.mono);
+        let timing = &self.timing;
+        let stay = timing.lease + timing.lease_margin + timing.clock_skew * 2 + STAY;
+        self.released = now.mono.since(left) >= stay;
+    }
+
     pub(super) fn stop(&mut self, now: Now, actions: &mut Vec<Action>) {
         self.leaving = true;
         self.keep_membership(now, actions);
--- a/crates/core/src/entry/submit.rs
+++ b/crates/core/src/entry/submit.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::Xxh3Default;
 
 use super::{Action, Entry, Origin, Question, Step, StepKind, Waiter};
+use crate::control::Member;
 use crate::job::{Answer, Id, Spec};
 use crate::placement;
 use crate::refusal::{Ran, Reason, Refusal};
@@ -89,6 +90,8 @@
     Start,
     /// Not yet: ask again later.
     Wait,
+    /// It may not: a previous coordinator has the record.
+    Forward(Member),
     /// It may not.
     Refuse(Refusal),
 }
@@ -141,13 +144,23 @@
         let Some(coordinator) = rendezvous::coordinator(&self.row.members, &id) else {
             return answer(waiter, id, Answer::Refused(no_lease()), actions);
         };
-        if coordinator.name == self.me.name {
+        if self.is_me(coordinator) {
             return self.answer_here(waiter, question, now, actions);
         }
         if forwarded {
             return actions.push(Action::Misdirected { waiter });
         }
         let to = coordinator.clone();
+        self.forward(waiter, to, question, actions);
+    }
+
+    fn forward(
+        &mut self,
+        waiter: Waiter,
+        to: Member,
+        question: Question,
+        actions: &mut Vec<Action>,
+    ) {
         self.forwards.insert(waiter, question.clone());
         actions.push(Action::Forward {
             waiter,
@@ -157,9 +170,10 @@
     }
 
     /// Tries again after the entry that a question was forwarded to did not answer it.
-    pub(super) fn forward_lost(&mut self, waiter: Waiter, now: Now) {
+    pub(super) fn forward_lost(&mut self, waiter: Waiter, now: Now, actions: &mut Vec<Action>) {
         if let Some(question) = self.forwards.remove(&waiter) {
-            self.park(waiter, question, now);
+            self.inquiries.remove(&question.id());
+            self.park(waiter, question, now, actions);
         }
     }
 
@@ -170,27 +184,70 @@
         now: Now,
         actions: &mut Vec<Action>,
     ) {
-        match question {
-            Question::Submit(spec) => self.submit_here(waiter, spec, now, actions),
-            Question::Get(id) => self.get_here(waiter, id, actions),
-            Question::Cancel(id) => self.cancel_here(waiter, id, now, actions),
-            Question::Trace(id) => self.trace_here(waiter, id, actions),
+        if let Some(key) = self.by_id.get(&question.id()).copied() {
+            return self.answer_known(waiter, key, question, now, actions);
+        }
+        let admission = match &question {
+            Question::Submit(_) | Question::Cancel(_) => self.admit(&question.id(), now, actions),
+            Question::Get(id) | Question::Trace(id) => self.locate(id, now, actions),
+        };
+        match admission {
+            Admission::Refuse(refusal) => {
+                answer(waiter, question.id(), Answer::Refused(refusal), actions);
+            }
+            Admission::Wait => self.park(waiter, question, now, actions),
+            Admission::Forward(holder) => self.forward(waiter, holder, question, actions),
+            Admission::Start => self.answer_unknown(waiter, question, now, actions),
         }
     }
 
-    fn submit_here(&mut self, waiter: Waiter, spec: Spec, now: Now, actions: &mut Vec<Action>) {
-        if let Some(key) = self.by_id.get(&spec.id).copied() {
-            return self.join(waiter, key, &spec, now, actions);
-        }
-        match self.admit(&spec.id, now) {
-            Admission::Refuse(refusal) => {
-                answer(waiter, spec.id, Answer::Refused(refusal), actions);
+    /// Answers a question about a job that this entry has a record of.
+    fn answer_known(
+        &mut self,
+        waiter: Waiter,
+        key: Key,
+        question: Question,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        match question {
+            Question::Submit(spec) => self.join(waiter, key, &spec, now, actions),
+            Question::Get(id) => self.wait_for(waiter, key, id, actions),
+            Question::Cancel(id) => {
+                self.cancel(key, now, actions);
+                self.wait_for(waiter, key, id, actions);
+            }
+            Question::Trace(id) => {
+                let steps = self.jobs[key].trace.clone();
+                actions.push(Action::Traced { waiter, id, steps });
             }
-            Admission::Wait => self.park(waiter, Question::Submit(spec), now),
-            Admission::Start => match self.check_spec(&spec) {
+        }
+    }
+
+    /// Answers a question about a job that no entry has a record of.
+    fn answer_unknown(
+        &mut self,
+        waiter: Waiter,
+        question: Question,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        match question {
+            Question::Submit(spec) => match self.check_spec(&spec) {
                 Ok(()) => self.accept(waiter, spec, now),
                 Err(refusal) => self.tombstone(waiter, spec.id, refusal, now, actions),
             },
+            Question::Get(id) | Question::Trace(id) => {
+                answer(waiter, id, Answer::Refused(not_found()), actions);
+            }
+            Question::Cancel(id) => {
+                let refusal = Refusal::new(
+                    Reason::Cancelled,
+                    Ran::No,
+                    "the job was cancelled before it was submitted; submit a new id to run it",
+                );
+                self.tombstone(waiter, id, refusal, now, actions);
+            }
         }
     }
 
@@ -212,55 +269,28 @@
         }
     }
 
-    fn get_here(&mut self, waiter: Waiter, id: Id, actions: &mut Vec<Action>) {
-        let Some(key) = self.by_id.get(&id) else {
-            return answer(waiter, id, Answer::Refused(not_found()), actions);
-        };
-        let job = &mut self.jobs[*key];
+    fn wait_for(&mut self, waiter: Waiter, key: Key, id: Id, actions: &mut Vec<Action>) {
+        let job = &mut self.jobs[key];
         match &job.answer {
             Some(end) => answer(waiter, id, end.clone(), actions),
             None => job.waiters.push(waiter),
         }
     }
 
-    fn trace_here(&self, waiter: Waiter, id: Id, actions: &mut Vec<Action>) {
-        match self.by_id.get(&id) {
-            Some(key) => {
-                let steps = self.jobs[*key].trace.clone();
-                actions.push(Action::Traced { waiter, id, steps });
-            }
-            None => answer(waiter, id, Answer::Refused(not_found()), actions),
-        }
-    }
-
-    fn cancel_here(&mut self, waiter: Waiter, id: Id, now: Now, actions: &mut Vec<Action>) {
-        if let Some(key) = self.by_id.get(&id).copied() {
-            if !self.jobs[key].is_ended() {
-                let refusal = Refusal::new(
-                    Reason::Cancelled,
-                    self.ran(key),
-                    "the job was cancelled; submit a new id to run it",
-                );
-                self.finish(key, Answer::Refused(refusal), now, actions);
-            }
-            return self.get_here(waiter, id, actions);
-        }
-        match self.admit(&id, now) {
-            Admission::Start => {
-                let refusal = Refusal::new(
-                    Reason::Cancelled,
-                    Ran::No,
-                    "the job was cancelled before it was submitted; submit a new id to run it",
-                );
-                self.tombstone(waiter, id, refusal, now, actions);
-            }
-            Admission::Wait => self.park(waiter, Question::Cancel(id), now),
-            Admission::Refuse(refusal) => answer(waiter, id, Answer::Refused(refusal), actions),
+    fn cancel(&mut self, key: Key, now: Now, actions: &mut Vec<Action>) {
+        if self.jobs[key].is_ended() {
+            return;
         }
+        let refusal = Refusal::new(
+            Reason::Cancelled,
+            self.ran(key),
+            "the job was cancelled; submit a new id to run it",
+        );
+        self.finish(key, Answer::Refused(refusal), now, actions);
     }
 
     /// Refuses ids whose creation time does not lie within the window.
-    fn check_created(&self, id: &Id, now: Now) -> Result<(), Refusal> {
+    pub(super) fn check_created(&self, id: &Id, now: Now) -> Result<(), Refusal> {
         let created = id.created();
         if created > now.wall.plus(self.timing.skew) {
             return Err(Refusal::new(
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -50,22 +50,37 @@
         *answer = (*answer).max(sent);
     }
 
-    /// Returns when the question was sent on which a valid lease rests, `None` without a lease.
+    /// Returns when the question was sent on which a valid lease of the member `me` rests, `None`
+    /// without a lease.
     pub fn basis(&self, me: &str, row: &Row, timing: &Timing, now: Mono) -> Option<Mono> {
+        row.member(me)?;
+        self.evidence(Some(me), row, timing, now)
+    }
+
+    /// Returns when the question was sent that last showed the epoch of `row` to be the present
+    /// one, `None` if that is longer ago than a lease lasts. `me` is the asker if it is a member;
+    /// its own vote counts then.
+    pub fn evidence(
+        &self,
+        me: Option<&str>,
+        row: &Row,
+        timing: &Timing,
+        now: Mono,
+    ) -> Option<Mono> {
         let read = self.last_read?;
-        if now.since(read) > timing.store_grace || row.member(me).is_none() {
+        if now.since(read) > timing.store_grace {
             return None;
         }
         let basis = self.by_majority(me, row, now).max(self.read)?;
         (now.since(basis) <= timing.lease).then_some(basis)
     }
 
-    fn by_majority(&self, me: &str, row: &Row, now: Mono) -> Option<Mono> {
+    fn by_majority(&self, me: Option<&str>, row: &Row, now: Mono) -> Option<Mono> {
         let mut sent: SmallVec<[Mono; 16]> = row
             .members
             .iter()
             .filter_map(|member| {
-                if member.name == me {
+                if Some(member.name.as_str()) == me {
                     Some(now)
                 } else {
                     self.answers.get(&member.name).copied()
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -19,6 +19,8 @@
     pub window: Duration,
     /// How far an id's creation time may lie ahead.
     pub skew: Duration,
+    /// How far the wall clocks of two entries with a lease may differ.
+    pub clock_skew: Duration,
     /// Time between an agent's reports to an entry that uses it.
     pub report: Duration,
     /// Time between an agent's reports to an entry that does not use it.
@@ -37,6 +39,7 @@
             silence: Duration::from_secs(1),
             window: Duration::from_mins(10),
             skew: Duration::from_secs(1),
+            clock_skew: Duration::from_millis(250),
             report: Duration::from_millis(250),
             idle_report: Duration::from_secs(5),
             agent_silence: Duration::from_secs(5),
--- a/crates/entry/src/decider.rs
+++ b/crates/entry/src/decider.rs
@@ -80,6 +80,8 @@
             } => self.peers.forward(waiter, &to, question),
             Action::Order { link, order } => self.peers.order(link, order),
             Action::Beat { to, epoch } => self.peers.beat(to, epoch),
+            Action::Inquire { to, id, epoch } => self.peers.inquire(to, id, epoch),
+            Action::AnswerInquiry { waiter, findings } => self.waiters.findings(waiter, findings),
             Action::ReadRow => store::ask(&self.store, store::Request::ReadRow),
             Action::WriteRow { expect, row } => {
                 log::info!("decider: Proposes epoch {} for {}.", row.epoch, row.change);
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -31,6 +31,9 @@
 /// Time within which a heartbeat must be answered.
 const BEAT_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Time within which an inquiry about a job must be answered.
+const INQUIRY_TIMEOUT: Duration = Duration::from_millis(900);
+
 /// Time between pings on a connection with an open call, and the wait for each.
 const PING: Duration = Duration::from_millis(500);
 
@@ -148,6 +151,27 @@
         });
     }
 
+    /// Asks another entry whether it has a record of a job.
+    pub fn inquire(&self, to: Member, id: Id, epoch: u64) {
+        let Some(mut client) = self.client(&to.address) else {
+            let _ended = self.events.send(Event::InquiryLost { member: to, id });
+            return;
+        };
+        let events = self.events.clone();
+        self.runtime.spawn(async move {
+            let call = client.inquire(encode::inquiry(to.incarnation, epoch, &id));
+            let event = match tokio::time::timeout(INQUIRY_TIMEOUT, call).await {
+                Ok(Ok(answer)) => Event::InquiryAnswered {
+                    member: to,
+                    id,
+                    findings: decode::findings(answer.into_inner()),
+                },
+                _ => Event::InquiryLost { member: to, id },
+            };
+            let _ended = events.send(event);
+        });
+    }
+
     /// Passes a question on to a job's coordinator.
     pub fn forward(&self, waiter: Waiter, to: &Member, question: Question) {
         let lost = Event::ForwardLost { waiter };
@@ -257,7 +281,34 @@
         let epoch = answer
             .await
             .map_err(|_gone| Status::unavailable("the entry stops"))?;
-        Ok(Response::new(wire::BeatAnswer { epoch }))
+        Ok(Response::new(wire::BeatAnswer {
+            epoch,
+            wall_ms: Some(self.clock.now().wall.0),
+        }))
+    }
+
+    async fn inquire(
+        &self,
+        request: Request<wire::Inquiry>,
+    ) -> Result<Response<wire::Findings>, Status> {
+        let inquiry = request.into_inner();
+        if inquiry.incarnation != self.incarnation {
+            return Err(Status::failed_precondition("another incarnation was asked"));
+        }
+        let id = decode::inquiry(&inquiry).map_err(|error| {
+            self.metrics.malformed.inc();
+            Status::invalid_argument(error.to_string())
+        })?;
+        let (waiter, answer) = self.waiters.add_inquiry();
+        let _ended = self.events.send(Event::Inquired {
+            waiter,
+            id,
+            epoch: inquiry.epoch,
+        });
+        let findings = answer
+            .await
+            .map_err(|_gone| Status::unavailable("the entry stops"))?;
+        Ok(Response::new(encode::findings(findings)))
     }
 
     async fn ask(&self, request: Request<wire::Question>) -> Result<Response<wire::Reply>, Status> {
--- a/crates/entry/src/responder.rs
+++ b/crates/entry/src/responder.rs
@@ -8,7 +8,7 @@
 use anyhow::Result;
 use bytes::Bytes;
 use crossbeam::channel::Sender;
-use ibisspool_core::entry::{Step, Waiter};
+use ibisspool_core::entry::{Findings, Step, Waiter};
 use ibisspool_core::job::{Answer, Id};
 use ibisspool_core::refusal::{Reason, Refusal};
 use ibisspool_kernel::http::{self, Reply};
@@ -42,6 +42,7 @@
     },
     Peer(oneshot::Sender<Option<decode::Reply>>),
     Beat(oneshot::Sender<u64>),
+    Inquiry(oneshot::Sender<Findings>),
 }
 
 /// An answer on its way out.
@@ -126,6 +127,19 @@
         (self.insert(Waiting::Beat(sender)), receiver)
     }
 
+    /// Adds another entry's inquiry.
+    pub fn add_inquiry(&self) -> (Waiter, oneshot::Receiver<Findings>) {
+        let (sender, receiver) = oneshot::channel();
+        (self.insert(Waiting::Inquiry(sender)), receiver)
+    }
+
+    /// Answers an inquiry.
+    pub fn findings(&self, waiter: Waiter, findings: Findings) {
+        if let Some(Waiting::Inquiry(sender)) = self.table().remove(&waiter) {
+            let _gone = sender.send(findings);
+        }
+    }
+
     /// Answers with the end of a job.
     pub fn answer(&self, waiter: Waiter, id: Id, answer: Answer) {
         self.reply(waiter, id, decode::Reply::Answer(answer));
@@ -157,7 +171,7 @@
             Some(Waiting::Peer(sender)) => {
                 let _gone = sender.send(Some(reply));
             }
-            Some(Waiting::Beat(_)) | None => {}
+            Some(Waiting::Beat(_) | Waiting::Inquiry(_)) | None => {}
         }
     }
 
--- a/crates/wire/src/decode.rs
+++ b/crates/wire/src/decode.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ibisspool_core::entry::Question;
+use ibisspool_core::entry::{Findings, Question};
 use ibisspool_core::time::Mono;
 use ibisspool_core::{frame, job, refusal};
 use thiserror::Error;
@@ -151,6 +151,23 @@
     })
 }
 
+/// Decodes the job that an inquiry is about.
+///
+/// # Errors
+/// Fails if the job's id is not one.
+pub fn inquiry(inquiry: &wire::Inquiry) -> Result<job::Id, Error> {
+    Ok(job::Id::from_slice(&inquiry.job)?)
+}
+
+/// Decodes what an entry knows of a job.
+pub fn findings(findings: wire::Findings) -> Findings {
+    Findings {
+        holds: findings.holds,
+        epoch: findings.epoch,
+        clear: findings.clear,
+    }
+}
+
 /// Decodes the answer to a question about `asked`.
 ///
 /// # Errors
--- a/crates/wire/src/encode.rs
+++ b/crates/wire/src/encode.rs
@@ -1,7 +1,7 @@
 //! Messages of the decisions as messages of the wire.
 
 use bytes::Bytes;
-use ibisspool_core::entry::Question;
+use ibisspool_core::entry::{Findings, Question};
 use ibisspool_core::{frame, job, refusal};
 
 use crate::generated as wire;
@@ -106,6 +106,24 @@
     }
 }
 
+/// Encodes a question whether an incarnation of an entry has a record of a job.
+pub fn inquiry(incarnation: u64, epoch: u64, job: &job::Id) -> wire::Inquiry {
+    wire::Inquiry {
+        incarnation,
+        epoch,
+        job: id(job),
+    }
+}
+
+/// Encodes what an entry knows of a job.
+pub fn findings(findings: Findings) -> wire::Findings {
+    wire::Findings {
+        holds: findings.holds,
+        epoch: findings.epoch,
+        clear: findings.clear,
+    }
+}
+
 /// Encodes the end of a job.
 pub fn answer(job: &job::Id, answer: job::Answer) -> wire::Reply {
     let end = match answer {
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -112,6 +112,29 @@
 pub struct BeatAnswer {
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
+    /// Wall clock of the entry that answers, in milliseconds since the Unix epoch.
+    #[prost(uint64, optional, tag = "2")]
+    pub wall_ms: ::core::option::Option<u64>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Inquiry {
+    /// Incarnation of the entry that is asked; another one does not answer.
+    #[prost(uint64, tag = "1")]
+    pub incarnation: u64,
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    #[prost(bytes = "bytes", tag = "3")]
+    pub job: ::prost::bytes::Bytes,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Findings {
+    #[prost(bool, tag = "1")]
+    pub holds: bool,
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// Epoch in or below which nobody can have accepted the job.
+    #[prost(uint64, tag = "3")]
+    pub clear: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Submit {
@@ -614,6 +637,26 @@
             req.extensions_mut().insert(GrpcMethod::new("ibisspool.v1.Peer", "Ask"));
             self.inner.unary(req, path, codec).await
         }
+        pub async fn inquire(
+            &mut self,
+            request: impl tonic::IntoRequest<super::Inquiry>,
+        ) -> std::result::Result<tonic::Response<super::Findings>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/ibisspool.v1.Peer/Inquire",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut().insert(GrpcMethod::new("ibisspool.v1.Peer", "Inquire"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -637,6 +680,10 @@
             &self,
             request: tonic::Request<super::Question>,
         ) -> std::result::Result<tonic::Response<super::Reply>, tonic::Status>;
+        async fn inquire(
+            &self,
+            request: tonic::Request<super::Inquiry>,
+        ) -> std::result::Result<tonic::Response<super::Findings>, tonic::Status>;
     }
     /// Served by each entry; the other entries call it.
     #[derive(Debug)]
@@ -801,6 +848,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/ibisspool.v1.Peer/Inquire" => {
+                    #[allow(non_camel_case_types)]
+                    struct InquireSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::Inquiry>
+                    for InquireSvc<T> {
+                        type Response = super::Findings;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::Inquiry>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::inquire(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = InquireSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
