--- /dev/null
+++ b/crates/core/tests/takeover.rs
@@ -0,0 +1,267 @@
+//! Hand-over of ids whose coordinator changed.
+
+#[path = "fixture/cluster.rs"]
+mod cluster;
+
+use cluster::{Cluster, cluster};
+use ibisspool_core::entry::{Event, Findings, Question};
+use ibisspool_core::job::{Id, Task};
+use ibisspool_core::rendezvous;
+
+/// Returns an id made just now that `a` coordinates before the entry `c` has joined, and `c` then.
+fn moving_to_c(cluster: &Cluster) -> Id {
+    let before = cluster.row.1.members.clone();
+    let mut after = before.clone();
+    let mut c = before[0].clone();
+    c.name = "c".to_owned();
+    after.push(c);
+    let is = |members: &[_], id: &Id, name: &str| {
+        rendezvous::coordinator(members, id).is_some_and(|m| m.name == name)
+    };
+    cluster.draw(0, |id| is(&before, id, "a") && is(&after, id, "c"))
+}
+
+fn first_task(job: Id) -> Task {
+    Task { job, index: 0 }
+}
+
+#[test]
+fn resubmission_after_a_move_joins_the_job_at_its_previous_coordinator() {
+    let mut cluster = cluster(&["a", "b"]);
+    let id = moving_to_c(&cluster);
+    let first = cluster.submit(0, id);
+
+    cluster.join("c", 1);
+    let second = cluster.submit(1, id);
+    cluster.run(100);
+    cluster.end(0, first_task(id));
+
+    assert_eq!(cluster.starts(id), [0]);
+    assert_eq!(cluster.answers.get(&first), cluster.answers.get(&second));
+    assert!(cluster.answers.contains_key(&first));
+}
+
+#[test]
+fn unknown_id_is_started_by_the_new_coordinator_after_the_previous_one_released_it() {
+    let mut cluster = cluster(&["a", "b"]);
+    let id = moving_to_c(&cluster);
+
+    let c = cluster.join("c", 1);
+    let waiter = cluster.submit(0, id);
+    cluster.run(100);
+
+    assert_eq!(cluster.starts(id), [c]);
+    assert!(cluster.inquiries > 0);
+    assert!(!cluster.answers.contains_key(&waiter));
+}
+
+#[test]
+fn id_made_after_the_barrier_is_started_without_an_inquiry() {
+    let mut cluster = cluster(&["a", "b", "c"]);
+    cluster.run(1_000);
+    let before = cluster.inquiries;
+
+    let id = cluster.id_of(2, 0);
+    cluster.submit(2, id);
+
+    assert_eq!(cluster.starts(id), [2]);
+    assert_eq!(cluster.inquiries, before);
+}
+
+#[test]
+fn id_of_a_dead_coordinator_is_refused_as_unknown_and_never_started() {
+    let mut cluster = cluster(&["a", "b", "c"]);
+    cluster.run(1_000);
+    let id = cluster.id_of(2, 0);
+    let _lost = cluster.submit(2, id);
+
+    cluster.nodes[2].up = false;
+    cluster.run(3_000);
+    let waiter = cluster.submit(0, id);
+    cluster.run(1_000);
+
+    let refusal = cluster.refusal(waiter);
+    assert_eq!(
+        refusal,
+        Some(("history_lost".to_owned(), "unknown".to_owned()))
+    );
+    assert_eq!(cluster.starts(id), [2]);
+}
+
+#[test]
+fn new_jobs_of_a_dead_coordinator_are_taken_within_three_seconds() {
+    let mut cluster = cluster(&["a", "b", "c"]);
+    cluster.run(1_000);
+    let probe = cluster.id_of(2, 0);
+
+    cluster.nodes[2].up = false;
+    cluster.run(2_900);
+    let heir = cluster.draw(0, |id| {
+        rendezvous::coordinator(&cluster.row.1.members, id)
+            == rendezvous::coordinator(&cluster.row.1.members, &probe)
+    });
+    cluster.submit(0, heir);
+    cluster.run(50);
+
+    assert!(cluster.row.1.member("c").is_none());
+    assert_eq!(cluster.starts(heir).len(), 1);
+}
+
+#[test]
+fn paused_coordinator_that_comes_back_keeps_its_job_and_nobody_starts_it_again() {
+    let mut cluster = cluster(&["a", "b", "c"]);
+    cluster.run(1_000);
+    let id = cluster.id_of(2, 0);
+    let first = cluster.submit(2, id);
+
+    cluster.nodes[2].paused = true;
+    cluster.run(3_000);
+    let during = cluster.submit(0, id);
+    cluster.run(100);
+    cluster.nodes[2].paused = false;
+    cluster.run(3_000);
+    let after = cluster.submit(0, id);
+    cluster.run(100);
+    cluster.end(2, first_task(id));
+    cluster.run(100);
+
+    assert_eq!(cluster.starts(id), [2]);
+    assert!(cluster.answers.contains_key(&first));
+    assert_eq!(cluster.answers.get(&first), cluster.answers.get(&after));
+    assert_eq!(
+        cluster.answers.get(&first),
+        cluster.answers.get(&during),
+        "the inquiry that waited at the paused entry was answered `holds`"
+    );
+}
+
+#[test]
+fn answer_of_a_lower_epoch_does_not_release_an_id() {
+    let mut cluster = cluster(&["a", "b"]);
+    let id = moving_to_c(&cluster);
+    let a = cluster.nodes[0].me.clone();
+    cluster.nodes[0].deaf = true;
+    let c = cluster.join("c", 1);
+    cluster.submit(c, id);
+
+    for epoch in [1, cluster.row.1.epoch - 1] {
+        let findings = Findings {
+            holds: false,
+            epoch,
+            clear: 0,
+        };
+        let member = a.clone();
+        cluster.send(
+            c,
+            Event::InquiryAnswered {
+                member,
+                id,
+                findings,
+            },
+        );
+        cluster.run(50);
+    }
+
+    assert!(cluster.starts(id).is_empty());
+}
+
+#[test]
+fn answer_that_arrives_twice_or_late_starts_nothing_twice() {
+    let mut cluster = cluster(&["a", "b"]);
+    let id = moving_to_c(&cluster);
+    let a = cluster.nodes[0].me.clone();
+    let c = cluster.join("c", 1);
+    cluster.submit(c, id);
+    cluster.run(50);
+
+    let findings = Findings {
+        holds: false,
+        epoch: cluster.row.1.epoch,
+        clear: 0,
+    };
+    for _time in 0..2 {
+        let member = a.clone();
+        cluster.send(
+            c,
+            Event::InquiryAnswered {
+                member,
+                id,
+                findings,
+            },
+        );
+        cluster.run(50);
+    }
+
+    assert_eq!(cluster.starts(id), [c]);
+}
+
+#[test]
+fn job_that_moved_there_and_back_is_found_where_it_runs() {
+    let mut cluster = cluster(&["a", "b"]);
+    let id = moving_to_c(&cluster);
+    let c = cluster.join("c", 1);
+    let first = cluster.submit(c, id);
+    cluster.run(50);
+
+    cluster.send(c, Event::Stop);
+    cluster.run(1_500);
+    let back = cluster.submit(0, id);
+    cluster.run(100);
+    cluster.end(c, first_task(id));
+    cluster.run(100);
+
+    assert!(cluster.row.1.member("c").is_none());
+    assert_eq!(cluster.starts(id), [c]);
+    assert!(cluster.answers.contains_key(&first));
+    assert_eq!(cluster.answers.get(&first), cluster.answers.get(&back));
+}
+
+#[test]
+fn get_trace_and_cancel_reach_the_previous_coordinator() {
+    let mut cluster = cluster(&["a", "b"]);
+    let id = moving_to_c(&cluster);
+    let submitted = cluster.submit(0, id);
+    cluster.join("c", 1);
+
+    let got = cluster.ask(1, Question::Get(id));
+    let _traced = cluster.ask(1, Question::Trace(id));
+    let cancelled = cluster.ask(1, Question::Cancel(id));
+    cluster.run(100);
+
+    assert_eq!(cluster.traced.len(), 1);
+    for waiter in [submitted, got, cancelled] {
+        let reason = cluster.refusal(waiter).map(|(reason, _ran)| reason);
+        assert_eq!(reason.as_deref(), Some("cancelled"));
+    }
+}
+
+#[test]
+fn id_of_a_restarted_coordinator_is_unknown() {
+    let mut cluster = cluster(&["a", "b", "c"]);
+    cluster.run(1_000);
+    let id = cluster.id_of(2, 0);
+    let _lost = cluster.submit(2, id);
+
+    cluster.nodes[2].up = false;
+    let again = cluster.join("c", 2);
+    let waiter = cluster.submit(again, id);
+    cluster.run(500);
+
+    let reason = cluster.refusal(waiter).map(|(reason, _ran)| reason);
+    assert_eq!(reason.as_deref(), Some("history_lost"));
+    assert_eq!(cluster.starts(id), [2]);
+}
+
+#[test]
+fn cancel_of_an_id_older_than_the_window_never_says_that_nothing_ran() {
+    let mut cluster = cluster(&["a"]);
+    let id = cluster.draw(700_000, |_id| true);
+
+    let waiter = cluster.ask(0, Question::Cancel(id));
+
+    let refusal = cluster.refusal(waiter);
+    assert_eq!(
+        refusal,
+        Some(("id_too_old".to_owned(), "unknown".to_owned()))
+    );
+}
