feat(core): lease needs an agreeing clock; a removed member never says no

Entries compare wall clocks by heartbeats; one that differs from too many gives up its lease and logs it. Without a lease a job's end says unknown in place of no.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -11,6 +11,7 @@
 mod trace;
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -24,6 +25,7 @@
 use crate::placement::Fleet;
 use crate::refusal::Retry;
 use crate::settings::{Bounds, Timing};
+use crate::skew::Clocks;
 use crate::time::{Mono, Now};
 
 pub use submit::{Job, Key as JobKey, TaskState};
@@ -147,6 +149,15 @@
         /// The job.
         id: Id,
     },
+    /// A heartbeat's answer showed the wall clock of another entry.
+    ClockCompared {
+        /// The entry and incarnation that answered.
+        member: Member,
+        /// How far its clock is ahead of this entry's, in milliseconds.
+        ahead_ms: i64,
+        /// How far off that may be.
+        error: Duration,
+    },
     /// The control row was read.
     RowRead {
         /// When the read was sent.
@@ -243,6 +254,12 @@
         /// What this entry knows.
         findings: Findings,
     },
+    /// Report that the wall clock went out of agreement with those of the other entries, which
+    /// costs the lease, or came back.
+    ClockApart {
+        /// Whether it is out of agreement.
+        apart: bool,
+    },
     /// Read the control row.
     ReadRow,
     /// Write the control row if its version is still `expect`.
@@ -306,6 +323,7 @@
     parked: Vec<control::Parked>,
     inquiries: HashMap<Id, takeover::Inquiry>,
     in_force: takeover::InForce,
+    clocks: Clocks,
     deadlines: BTreeSet<(Mono, JobKey)>,
     expiries: BTreeSet<(Mono, JobKey)>,
     heard: HashMap<String, Mono>,
@@ -343,6 +361,7 @@
             parked: Vec::new(),
             inquiries: HashMap::new(),
             in_force: takeover::InForce::new(),
+            clocks: Clocks::new(),
             deadlines: BTreeSet::new(),
             expiries: BTreeSet::new(),
             heard: HashMap::new(),
@@ -424,6 +443,15 @@
                 self.inquiry_lost(&member, &id, now);
                 self.retry_parked(now, actions);
             }
+            Event::ClockCompared {
+                member,
+                ahead_ms,
+                error,
+            } => {
+                self.clocks
+                    .record(&member.name, ahead_ms, error, &self.timing, now.mono);
+                self.compare_clocks(now, actions);
+            }
             Event::RowRead { sent, version, row } => {
                 self.row_read(sent, version, row, now, actions);
             }
--- a/crates/core/src/entry/control.rs
+++ b/crates/core/src/entry/control.rs
@@ -50,7 +50,15 @@
 
     /// Returns whether this entry may accept jobs and say that nothing ran.
     pub(super) fn may_decide(&self, now: Now) -> bool {
-        self.is_member() && self.lease_basis(now).is_some()
+        self.is_member() && !self.clocks.is_apart() && self.lease_basis(now).is_some()
+    }
+
+    /// Gives up the lease while this entry's wall clock cannot be relied on.
+    pub(super) fn compare_clocks(&mut self, now: Now, actions: &mut Vec<Action>) {
+        if self.clocks.update(&self.row, &self.timing, now.mono) {
+            let apart = self.clocks.is_apart();
+            actions.push(Action::ClockApart { apart });
+        }
     }
 
     /// Returns whether this very process is a member.
@@ -113,6 +121,7 @@
         self.notice_pause(now);
         self.settle_takeover(now);
         self.note_left(now);
+        self.compare_clocks(now, actions);
         if now.mono >= self.next_beat {
             self.beat(now, actions);
         }
--- a/crates/core/src/entry/outcome.rs
+++ b/crates/core/src/entry/outcome.rs
@@ -200,6 +200,7 @@
         actions: &mut Vec<Action>,
     ) {
         self.recall_all(key, actions);
+        let answer = self.without_lease(answer, now);
         let job = &mut self.jobs[key];
         assert!(
             job.answer.is_none(),
--- a/crates/core/src/entry/submit.rs
+++ b/crates/core/src/entry/submit.rs
@@ -24,6 +24,9 @@
 /// Draws of an id before one that another entry coordinates is taken.
 const ID_DRAWS: u32 = 1_000;
 
+/// Draws of an id before one that an earlier coordinator must be asked about is taken.
+const UNMOVED_DRAWS: u32 = 100;
+
 /// Steps kept of one job's trace.
 const TRACE_STEPS: usize = 2_048;
 
@@ -115,12 +118,14 @@
         self.ask(waiter, Question::Submit(spec), forwarded, now, actions);
     }
 
-    /// Draws an id that this entry coordinates, so that the job needs no forward hop.
+    /// Draws an id that this entry coordinates, so that the job needs no forward hop, and that it
+    /// coordinated before, so that the job need not wait for a takeover.
     fn draw_id(&mut self, now: Now) -> Id {
         let mut id = Id::new(now.wall, self.rng.random());
-        for _draw in 0..ID_DRAWS {
+        for draw in 0..ID_DRAWS {
             let coordinator = rendezvous::coordinator(&self.row.members, &id);
-            if coordinator.is_none_or(|member| member.name == self.me.name) {
+            let mine = coordinator.is_none_or(|member| self.is_me(member));
+            if mine && (draw >= UNMOVED_DRAWS || self.is_unmoved(&id)) {
                 break;
             }
             id = Id::new(now.wall, self.rng.random());
@@ -263,20 +268,35 @@
             return answer(waiter, spec.id, Answer::Refused(refusal), actions);
         }
         job.note(now, StepKind::Joined);
-        match &job.answer {
-            Some(end) => answer(waiter, spec.id, end.clone(), actions),
-            None => job.waiters.push(waiter),
-        }
+        self.wait_for(waiter, key, spec.id, actions);
     }
 
     fn wait_for(&mut self, waiter: Waiter, key: Key, id: Id, actions: &mut Vec<Action>) {
         let job = &mut self.jobs[key];
         match &job.answer {
             Some(end) => answer(waiter, id, end.clone(), actions),
+            None if job.waiters.len() >= self.bounds.waiters_per_job => {
+                let refusal = Refusal::new(
+                    Reason::TableFull,
+                    self.ran_so_far(key),
+                    "too many callers wait for this job; send the same id again later",
+                )
+                .with_retry_after_ms(1_000);
+                answer(waiter, id, Answer::Refused(refusal), actions);
+            }
             None => job.waiters.push(waiter),
         }
     }
 
+    /// Returns what can be said of a running job; that nothing ran can only be said at its end.
+    fn ran_so_far(&self, key: Key) -> Ran {
+        if self.jobs[key].started {
+            Ran::Yes
+        } else {
+            Ran::Unknown
+        }
+    }
+
     fn cancel(&mut self, key: Key, now: Now, actions: &mut Vec<Action>) {
         if self.jobs[key].is_ended() {
             return;
--- a/crates/core/src/entry/takeover.rs
+++ b/crates/core/src/entry/takeover.rs
@@ -11,7 +11,7 @@
 use super::submit::{Admission, no_lease};
 use super::{Action, Entry, Waiter};
 use crate::control::Member;
-use crate::job::Id;
+use crate::job::{Answer, Id};
 use crate::refusal::{Ran, Reason, Refusal};
 use crate::rendezvous;
 use crate::time::{Mono, Now, Wall};
@@ -160,6 +160,15 @@
         previous
     }
 
+    /// Returns whether this entry may start an id of its own without asking or waiting.
+    pub(super) fn is_unmoved(&self, id: &Id) -> bool {
+        let mut earlier = self.takeover.leasable();
+        earlier.all(|row| self.is_mine(&row.members, id))
+            && self
+                .previous_coordinators(id, self.clear_epoch(id))
+                .is_empty()
+    }
+
     /// Returns the highest past epoch in or below which nobody can have accepted the id, because
     /// it was made after that epoch's leases had lapsed by every clock.
     fn clear_epoch(&self, id: &Id) -> u64 {
@@ -188,6 +197,17 @@
         self.wake_parked(now);
     }
 
+    /// Weakens "nothing ran" to "unknown" unless this entry holds a lease.
+    pub(super) fn without_lease(&self, answer: Answer, now: Now) -> Answer {
+        match answer {
+            Answer::Refused(mut refusal) if refusal.ran == Ran::No && !self.may_decide(now) => {
+                refusal.ran = Ran::Unknown;
+                Answer::Refused(refusal)
+            }
+            other => other,
+        }
+    }
+
     /// Answers another entry that asks for a record of an id.
     pub(super) fn inquired(
         &mut self,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod refusal;
 pub mod rendezvous;
 pub mod settings;
+pub mod skew;
 pub mod time;
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -56,6 +56,8 @@
     pub result_bytes: usize,
     /// Callers that wait for an answer.
     pub waiters: usize,
+    /// Callers that wait for the answer of one job.
+    pub waiters_per_job: usize,
     /// Tasks that wait for a backend server.
     pub queued_tasks: usize,
     /// Tasks in one job.
@@ -70,6 +72,7 @@
             jobs: 1_000_000,
             result_bytes: 256 << 20,
             waiters: 20_000,
+            waiters_per_job: 1_000,
             queued_tasks: 200_000,
             tasks_per_job: 420,
             input_bytes: 64 << 10,
--- a/crates/core/tests/takeover.rs
+++ b/crates/core/tests/takeover.rs
@@ -3,7 +3,7 @@
 #[path = "fixture/cluster.rs"]
 mod cluster;
 
-use cluster::{Cluster, cluster};
+use cluster::{Cluster, Process, cluster};
 use ibisspool_core::entry::{Event, Findings, Question};
 use ibisspool_core::job::{Id, Task};
 use ibisspool_core::rendezvous;
@@ -13,7 +13,7 @@
     let before = cluster.row.1.members.clone();
     let mut after = before.clone();
     let mut c = before[0].clone();
-    c.name = "c".to_owned();
+    "c".clone_into(&mut c.name);
     after.push(c);
     let is = |members: &[_], id: &Id, name: &str| {
         rendezvous::coordinator(members, id).is_some_and(|m| m.name == name)
@@ -75,7 +75,7 @@
     let id = cluster.id_of(2, 0);
     let _lost = cluster.submit(2, id);
 
-    cluster.nodes[2].up = false;
+    cluster.nodes[2].process = Process::Dead;
     cluster.run(3_000);
     let waiter = cluster.submit(0, id);
     cluster.run(1_000);
@@ -94,7 +94,7 @@
     cluster.run(1_000);
     let probe = cluster.id_of(2, 0);
 
-    cluster.nodes[2].up = false;
+    cluster.nodes[2].process = Process::Dead;
     cluster.run(2_900);
     let heir = cluster.draw(0, |id| {
         rendezvous::coordinator(&cluster.row.1.members, id)
@@ -114,11 +114,11 @@
     let id = cluster.id_of(2, 0);
     let first = cluster.submit(2, id);
 
-    cluster.nodes[2].paused = true;
+    cluster.nodes[2].process = Process::Paused;
     cluster.run(3_000);
     let during = cluster.submit(0, id);
     cluster.run(100);
-    cluster.nodes[2].paused = false;
+    cluster.nodes[2].process = Process::Running;
     cluster.run(3_000);
     let after = cluster.submit(0, id);
     cluster.run(100);
@@ -242,7 +242,7 @@
     let id = cluster.id_of(2, 0);
     let _lost = cluster.submit(2, id);
 
-    cluster.nodes[2].up = false;
+    cluster.nodes[2].process = Process::Dead;
     let again = cluster.join("c", 2);
     let waiter = cluster.submit(again, id);
     cluster.run(500);
--- a/crates/entry/src/decider.rs
+++ b/crates/entry/src/decider.rs
@@ -82,6 +82,12 @@
             Action::Beat { to, epoch } => self.peers.beat(to, epoch),
             Action::Inquire { to, id, epoch } => self.peers.inquire(to, id, epoch),
             Action::AnswerInquiry { waiter, findings } => self.waiters.findings(waiter, findings),
+            Action::ClockApart { apart: true } => log::error!(
+                "decider: This entry's wall clock differs from the others', so it gives up its lease; set the clock."
+            ),
+            Action::ClockApart { apart: false } => {
+                log::info!("decider: This entry's wall clock agrees with the others' again.");
+            }
             Action::ReadRow => store::ask(&self.store, store::Request::ReadRow),
             Action::WriteRow { expect, row } => {
                 log::info!("decider: Proposes epoch {} for {}.", row.epoch, row.change);
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -13,6 +13,7 @@
 use ibisspool_core::entry::{Event, Origin, Question, Waiter};
 use ibisspool_core::frame::Order;
 use ibisspool_core::job::Id;
+use ibisspool_core::time::Now;
 use ibisspool_kernel::clock::Clock;
 use ibisspool_wire::generated as wire;
 use ibisspool_wire::generated::link_server::{Link, LinkServer};
@@ -138,16 +139,20 @@
                 incarnation: to.incarnation,
                 epoch,
             };
-            let sent = clock.mono();
+            let sent = clock.now();
             let call = client.heartbeat(beat);
-            if let Ok(Ok(answer)) = tokio::time::timeout(BEAT_TIMEOUT, call).await {
-                let epoch = answer.into_inner().epoch;
-                let _ended = events.send(Event::BeatAnswered {
-                    member: to,
-                    epoch,
-                    sent,
-                });
+            let Ok(Ok(answer)) = tokio::time::timeout(BEAT_TIMEOUT, call).await else {
+                return;
+            };
+            let answer = answer.into_inner();
+            if let Some(wall) = answer.wall_ms {
+                let _ended = events.send(compared(to.clone(), wall, sent, clock.now()));
             }
+            let _ended = events.send(Event::BeatAnswered {
+                member: to,
+                epoch: answer.epoch,
+                sent: sent.mono,
+            });
         });
     }
 
@@ -213,6 +218,17 @@
     }
 }
 
+/// Compares the wall clock of an entry, read between `sent` and `received`, with this one's.
+fn compared(member: Member, wall_ms: u64, sent: Now, received: Now) -> Event {
+    let error = received.mono.since(sent.mono) / 2;
+    let here = sent.wall.plus(error).0;
+    Event::ClockCompared {
+        member,
+        ahead_ms: wall_ms.cast_signed().wrapping_sub(here.cast_signed()),
+        error,
+    }
+}
+
 fn sized(channel: Channel) -> PeerClient<Channel> {
     PeerClient::new(channel).max_decoding_message_size(MESSAGE_BYTES)
 }
