--- a/crates/entry/src/decider.rs
+++ b/crates/entry/src/decider.rs
@@ -80,6 +80,14 @@
             } => self.peers.forward(waiter, &to, question),
             Action::Order { link, order } => self.peers.order(link, order),
             Action::Beat { to, epoch } => self.peers.beat(to, epoch),
+            Action::Inquire { to, id, epoch } => self.peers.inquire(to, id, epoch),
+            Action::AnswerInquiry { waiter, findings } => self.waiters.findings(waiter, findings),
+            Action::ClockApart { apart: true } => log::error!(
+                "decider: This entry's wall clock differs from the others', so it gives up its lease; set the clock."
+            ),
+            Action::ClockApart { apart: false } => {
+                log::info!("decider: This entry's wall clock agrees with the others' again.");
+            }
             Action::ReadRow => store::ask(&self.store, store::Request::ReadRow),
             Action::WriteRow { expect, row } => {
                 log::info!("decider: Proposes epoch {} for {}.", row.epoch, row.change);
