--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -1,7 +1,8 @@
 //! Stand-in for a backend server: runs tasks for a while and answers with their input.
 //!
 //! - `POST /tasks/{job}/{index}` runs a task; `{"run_ms": n}` in its input sets its run time.
-//! - `GET /starts` lists the starts; `PUT /faults` with [`Faults`] makes it slow, fail or hang.
+//! - `GET /starts` lists the starts.
+//! - `PUT /faults` with [`Faults`] makes it slow, fail, hang, answer for another task or leave.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -20,8 +21,14 @@
 /// Time between announcements.
 const ANNOUNCE_EVERY: Duration = Duration::from_secs(1);
 
-/// Threads beyond the slots, for questions about starts and faults.
-const SPARE_THREADS: u32 = 4;
+/// Time within which the agent must answer.
+const AGENT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Threads that take requests; each task runs in a thread of its own.
+const THREADS: usize = 4;
+
+/// Time between looks at whether a hung task may go on or a leaving server is idle.
+const POLL: Duration = Duration::from_millis(20);
 
 /// What a backend server is like.
 #[derive(Debug, Clone)]
@@ -41,6 +48,7 @@
 }
 
 /// Faults of a backend server.
+#[expect(clippy::struct_excessive_bools, reason = "independent switches")]
 #[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Faults {
@@ -52,6 +60,11 @@
     pub cross: bool,
     /// Speed from now on; 0 leaves it as it is.
     pub speed: f64,
+    /// Slots announced from now on; 0 leaves them as they are.
+    pub slots: u32,
+    /// The server tells its agent that it leaves and finishes what runs; off again, it announces
+    /// itself again.
+    pub leave: bool,
 }
 
 /// One start of a task.
@@ -70,7 +83,9 @@
     starts: Vec<Start>,
     faults: Faults,
     speed: f64,
-    leaving: bool,
+    slots: u32,
+    running: u32,
+    silent: bool,
 }
 
 /// A running backend server. Clones share it.
@@ -92,9 +107,10 @@
         let address = server.server_addr().to_ip().unwrap_or(settings.listen);
         let state = Arc::new(Mutex::new(State {
             speed: settings.speed,
+            slots: settings.slots,
             ..State::default()
         }));
-        for _thread in 0..settings.slots + SPARE_THREADS {
+        for _thread in 0..THREADS {
             let (server, state) = (Arc::clone(&server), Arc::clone(&state));
             let run_ms = settings.run_ms;
             thread::spawn(move || {
@@ -122,39 +138,79 @@
 
     /// Sets the faults.
     pub fn set_faults(&self, faults: Faults) {
-        let mut state = lock(&self.state);
-        state.faults = faults;
-        if faults.speed > 0.0 {
-            state.speed = faults.speed;
-        }
+        set_faults(&mut lock(&self.state), faults);
     }
 
-    /// Stops the announcements, as a server does that leaves.
+    /// Stops the announcements without a word, as a server does that died.
     pub fn stop_announcing(&self) {
-        lock(&self.state).leaving = true;
+        lock(&self.state).silent = true;
+    }
+
+    /// Leaves, and waits until the agent knows and no task runs.
+    pub fn leave(&self, settings: &Settings) {
+        lock(&self.state).faults.leave = true;
+        let _told = tell_leaving(settings);
+        while lock(&self.state).running > 0 {
+            thread::sleep(POLL);
+        }
     }
 
     fn announce(&self, settings: &Settings) {
-        let body =
-            json!({ "address": self.url(), "slots": settings.slots, "kinds": settings.kinds });
-        let url = format!("{}/v1/backend", settings.agent);
-        while !lock(&self.state).leaving {
-            let sent = attohttpc::put(&url)
-                .bytes(body.to_string().into_bytes())
-                .send();
-            if let Err(error) = sent {
-                log::debug!("backend: The agent does not answer: {error}.");
+        let mut left = false;
+        let mut next = Instant::now();
+        while !lock(&self.state).silent {
+            let leave = lock(&self.state).faults.leave;
+            if leave && !left {
+                left = tell_leaving(settings).is_ok();
+            } else if !leave && (left || next <= Instant::now()) {
+                left = false;
+                next = Instant::now() + ANNOUNCE_EVERY;
+                self.tell_present(settings);
             }
-            thread::sleep(ANNOUNCE_EVERY);
+            thread::sleep(POLL);
+        }
+    }
+
+    fn tell_present(&self, settings: &Settings) {
+        let slots = lock(&self.state).slots;
+        let body = json!({ "address": self.url(), "slots": slots, "kinds": settings.kinds });
+        let sent = attohttpc::put(backend_url(settings))
+            .timeout(AGENT_TIMEOUT)
+            .bytes(body.to_string().into_bytes())
+            .send();
+        if let Err(error) = sent {
+            log::debug!("backend: The agent does not answer: {error}.");
         }
     }
 }
 
+fn backend_url(settings: &Settings) -> String {
+    format!("{}/v1/backend", settings.agent)
+}
+
+fn tell_leaving(settings: &Settings) -> Result<()> {
+    let answer = attohttpc::delete(backend_url(settings))
+        .timeout(AGENT_TIMEOUT)
+        .send()?;
+    answer.error_for_status()?;
+    Ok(())
+}
+
+fn set_faults(state: &mut State, faults: Faults) {
+    state.faults = faults;
+    if faults.speed > 0.0 {
+        state.speed = faults.speed;
+    }
+    if faults.slots > 0 {
+        state.slots = faults.slots;
+    }
+}
+
 fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn handle(state: &Mutex<State>, run_ms: f64, mut request: Request) {
+fn handle(state: &Arc<Mutex<State>>, run_ms: f64, mut request: Request) {
     let path = request.url().to_owned();
     let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
     let method = request.method().clone();
@@ -167,18 +223,22 @@
         (Method::Put, ["faults"]) => {
             let reply = match serde_json::from_slice::<Faults>(&body) {
                 Ok(faults) => {
-                    let mut state = lock(state);
-                    state.faults = faults;
-                    if faults.speed > 0.0 {
-                        state.speed = faults.speed;
-                    }
+                    set_faults(&mut lock(state), faults);
                     http::reply(204, "text/plain", "")
                 }
                 Err(error) => http::reply(400, "text/plain", format!("not faults: {error}\n")),
             };
             http::send(request, reply);
         }
-        (Method::Post, ["tasks", job, index]) => run(state, run_ms, job, index, body, request),
+        (Method::Post, ["tasks", job, index]) => {
+            let (job, index) = ((*job).to_owned(), (*index).to_owned());
+            let state = Arc::clone(state);
+            lock(&state).running += 1;
+            thread::spawn(move || {
+                run(&state, run_ms, &job, &index, body, request);
+                lock(&state).running -= 1;
+            });
+        }
         _ => http::send(request, http::reply(404, "text/plain", "no such path\n")),
     }
 }
@@ -208,7 +268,7 @@
     let run = Duration::from_secs_f64(asked / 1_000.0 / speed.max(0.001));
     thread::sleep(run.saturating_sub(begun.elapsed()));
     while lock(state).faults.hang {
-        thread::sleep(Duration::from_millis(20));
+        thread::sleep(POLL);
     }
     let status = if faults.fail { 500 } else { 200 };
     let mut reply = http::reply(status, "application/json", body);
