feat: measure placement policies in virtual time

Cause: no figure of response time against the ideal exists yet. Change: an example drives the decision code of entries and agents with open-loop arrivals under five policies, in one process and virtual time.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -125,6 +125,7 @@
     hello: Hello,
     incarnation: u64,
     timing: Timing,
+    queue_per_slot: usize,
     epoch: u64,
     links: BTreeMap<u64, Link>,
     queue: VecDeque<Waiting>,
@@ -146,6 +147,7 @@
             hello,
             incarnation,
             timing,
+            queue_per_slot: QUEUE_PER_SLOT,
             epoch: 0,
             links: BTreeMap::new(),
             queue: VecDeque::new(),
@@ -154,6 +156,13 @@
         }
     }
 
+    /// Sets how many tasks may wait for each slot before further ones are declined.
+    #[must_use]
+    pub fn with_queue_per_slot(mut self, tasks: usize) -> Self {
+        self.queue_per_slot = tasks;
+        self
+    }
+
     /// Decides on one event.
     pub fn handle(&mut self, event: Event, now: Now, actions: &mut Vec<Action>) {
         match event {
@@ -287,7 +296,7 @@
         if self.hello.leaving {
             return self.decline(&waiting, NotStarted::Leaving, now);
         }
-        if self.queue.len() >= self.hello.slots as usize * QUEUE_PER_SLOT {
+        if self.queue.len() >= self.hello.slots as usize * self.queue_per_slot {
             return self.decline(&waiting, NotStarted::Full, now);
         }
         self.queue.push_back(waiting);
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -20,7 +20,7 @@
 use crate::frame::{Order, Report};
 use crate::job::{Answer, Id, Spec};
 use crate::lease::{Lease, Takeover};
-use crate::placement::Fleet;
+use crate::placement::{Fleet, Policy};
 use crate::refusal::Retry;
 use crate::settings::{Bounds, Timing};
 use crate::time::{Mono, Now};
@@ -255,6 +255,7 @@
     catalogue: Catalogue,
     catalogue_version: u64,
     fleet: Fleet,
+    policy: Policy,
     links: HashMap<u64, crate::placement::Key>,
     jobs: SlotMap<JobKey, Job>,
     by_id: HashMap<Id, JobKey>,
@@ -287,6 +288,7 @@
             catalogue: Catalogue::default(),
             catalogue_version: 0,
             fleet: Fleet::new(),
+            policy: Policy::default(),
             links: HashMap::new(),
             jobs: SlotMap::with_key(),
             by_id: HashMap::new(),
@@ -305,6 +307,13 @@
         }
     }
 
+    /// Sets the policy by which agents are chosen.
+    #[must_use]
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Decides on one event.
     pub fn handle(&mut self, event: Event, now: Now, actions: &mut Vec<Action>) {
         match event {
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -64,9 +64,13 @@
             .kind(name)
             .map_or(0.0, |kind| kind.expected_run_ms as f64);
         let epoch = self.row.epoch;
-        let chosen = self.fleet.choose(name, declared_ms, |agent| {
-            self.in_service(agent) && agent.epoch <= epoch && agent.has_fresh_permit(basis)
-        });
+        let mut rng = self.rng.clone();
+        let chosen = self
+            .fleet
+            .choose(self.policy, name, declared_ms, &mut rng, |agent| {
+                self.in_service(agent) && agent.epoch <= epoch && agent.has_fresh_permit(basis)
+            });
+        self.rng = rng;
         if chosen.is_none() && self.fleet.lacks_permit(basis) {
             self.hasten_beat(now, actions);
         }
@@ -88,9 +92,8 @@
         orders: &mut HashMap<Key, Order>,
     ) {
         let blank = self.order(key);
+        self.fleet.record_dispatch(key);
         let agent = &mut self.fleet.agents[key];
-        agent.outstanding += 1;
-        agent.unreported += 1;
         let order = orders.entry(key).or_insert(blank);
         order.permit = agent.permit(basis);
         agent.record_permit(order.permit);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod backend;
 pub mod caller;
+pub mod load;
 pub mod local;
 pub mod platform;
