feat(core): queue tasks fairly and index agents by expected end

Cause: the queue was one line, so short jobs waited behind long ones; each event walked the whole queue and each decision all agents; the order of frames varied from run to run. Change: weighted fair queueing over owners, short jobs first within an owner, the fastest agents kept for short jobs, run times as work of the kind times slowness of the server, agents indexed by kind and expected end.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -9,7 +9,7 @@
 mod submit;
 mod trace;
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -17,6 +17,7 @@
 
 use crate::catalogue::Catalogue;
 use crate::control::{Member, Row};
+use crate::fair_queue::Queue;
 use crate::frame::{Order, Report};
 use crate::job::{Answer, Id, Spec};
 use crate::lease::{Lease, Takeover};
@@ -259,7 +260,7 @@
     links: HashMap<u64, crate::placement::Key>,
     jobs: SlotMap<JobKey, Job>,
     by_id: HashMap<Id, JobKey>,
-    queue: VecDeque<(JobKey, u32)>,
+    queue: Queue<JobKey>,
     forwards: HashMap<Waiter, Question>,
     parked: Vec<control::Parked>,
     deadlines: BTreeSet<(Mono, JobKey)>,
@@ -292,7 +293,7 @@
             links: HashMap::new(),
             jobs: SlotMap::with_key(),
             by_id: HashMap::new(),
-            queue: VecDeque::new(),
+            queue: Queue::new(),
             forwards: HashMap::new(),
             parked: Vec::new(),
             deadlines: BTreeSet::new(),
--- a/crates/core/src/entry/control.rs
+++ b/crates/core/src/entry/control.rs
@@ -297,6 +297,7 @@
 
     pub(super) fn catalogue_read(&mut self, version: u64, catalogue: Catalogue) {
         if version == self.row.catalogue {
+            self.queue.configure(&catalogue);
             self.catalogue = catalogue;
             self.catalogue_version = version;
         }
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -1,15 +1,82 @@
 //! Dispatch of queued tasks to agents.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::BTreeMap;
+
+use smallvec::SmallVec;
 
 use super::{Action, Entry, JobKey, StepKind, TaskState};
+use crate::fair_queue::{FlowKey, Lane};
 use crate::frame::{Dispatch, Order};
 use crate::job::Task;
-use crate::placement::Key;
+use crate::placement::{Key, Wanted};
 use crate::time::{Mono, Now};
 
+/// Most tasks of a job in the short lane.
+const SHORT_TASKS: usize = 8;
+
+/// A job's rank is its arrival plus this many times its share of the fleet's time.
+const RANK_STRETCH: f64 = 10.0;
+
+/// Waiting work, as time of the whole fleet, beyond which no slot is kept back.
+const PRESSURE_MS: f64 = 1_000.0;
+
+/// One round of dispatches.
+#[derive(Debug)]
+struct Round {
+    basis: Mono,
+    now: Now,
+    pressed: bool,
+    orders: BTreeMap<Key, Order>,
+}
+
 impl Entry {
-    /// Sends queued tasks to agents with room, batched by agent.
+    /// Puts all tasks of an accepted job into the queue.
+    pub(super) fn enqueue(&mut self, job: JobKey, now: Now) {
+        let spec = &self.jobs[job].spec;
+        let tasks = spec.inputs.len();
+        let work_ms = tasks as f64 * self.work_ms(&spec.kind);
+        let share_ms = work_ms / self.fleet.capacity().max(1.0);
+        let rank = now.mono.0 + (RANK_STRETCH * share_ms * 1_000.0) as u64;
+        let (kind, lane) = (&self.jobs[job].spec.kind, lane(tasks));
+        let indices = 0..tasks as u32;
+        self.queue
+            .push(job, indices, kind, lane, rank, &self.catalogue);
+    }
+
+    /// Puts a task that did not start back into the queue, ahead of its owner's other tasks.
+    pub(super) fn requeue(&mut self, job: JobKey, index: u32) {
+        if self.queue.put_back(job, index) {
+            return;
+        }
+        let spec = &self.jobs[job].spec;
+        let lane = lane(spec.inputs.len());
+        self.queue
+            .push(job, [index], &spec.kind, lane, 0, &self.catalogue);
+    }
+
+    /// Returns the expected work of a task of the kind in milliseconds.
+    pub(super) fn work_ms(&self, kind: &str) -> f64 {
+        self.fleet.work_ms(kind, self.declared_ms(kind))
+    }
+
+    pub(super) fn declared_ms(&self, kind: &str) -> f64 {
+        self.catalogue
+            .kind(kind)
+            .map_or(0.0, |kind| kind.expected_run_ms as f64)
+    }
+
+    /// Returns the time that the whole fleet needs for what waits at this entry and, by
+    /// likeness, at the others, in milliseconds.
+    pub(super) fn backlog_ms(&self) -> f64 {
+        let flows = self.queue.backlog();
+        let waiting: f64 = flows
+            .map(|flow| flow.tasks as f64 * self.work_ms(&flow.kind))
+            .sum();
+        waiting * self.row.members.len() as f64 / self.fleet.capacity().max(f64::MIN_POSITIVE)
+    }
+
+    /// Sends queued tasks to agents with room, batched by agent. Costs time for each kind with
+    /// waiting tasks and for each task that is sent, not for those that go on waiting.
     pub(super) fn dispatch(&mut self, now: Now, actions: &mut Vec<Action>) {
         if self.queue.is_empty() {
             return;
@@ -17,85 +84,66 @@
         let Some(basis) = self.lease_basis(now) else {
             return;
         };
-        let mut orders: HashMap<Key, Order> = HashMap::new();
-        let mut waiting = VecDeque::new();
-        let mut full: Vec<String> = Vec::new();
-        while let Some((job, index)) = self.queue.pop_front() {
-            let Some(attempts) = self.queued_attempts(job, index) else {
-                continue;
-            };
-            let kind = self.jobs[job].spec.kind.clone();
-            if full.contains(&kind) {
-                waiting.push_back((job, index));
-                continue;
-            }
-            if let Some(agent) = self.place(job, basis, now, actions) {
-                self.send(job, index, attempts + 1, agent, basis, now, &mut orders);
-            } else {
-                full.push(kind);
-                waiting.push_back((job, index));
+        let mut round = Round {
+            basis,
+            now,
+            pressed: self.backlog_ms() > PRESSURE_MS,
+            orders: BTreeMap::new(),
+        };
+        let mut blocked: SmallVec<[FlowKey; 8]> = SmallVec::new();
+        while let Some(flow) = self.queue.next(|flow, _| !blocked.contains(&flow)) {
+            match self.place(flow, &round, actions) {
+                Some(agent) => self.send(flow, agent, &mut round),
+                None => blocked.push(flow),
             }
         }
-        self.queue = waiting;
-        for (key, order) in orders {
+        for (key, order) in round.orders {
             if let Some(link) = self.fleet.agents[key].link {
                 actions.push(Action::Order { link, order });
             }
         }
     }
 
-    fn queued_attempts(&self, job: JobKey, index: u32) -> Option<u32> {
-        match self.jobs.get(job)?.tasks.get(index as usize)? {
-            TaskState::Queued { attempts } => Some(*attempts),
-            _ => None,
-        }
-    }
-
-    fn place(
-        &mut self,
-        job: JobKey,
-        basis: Mono,
-        now: Now,
-        actions: &mut Vec<Action>,
-    ) -> Option<Key> {
-        let name = &self.jobs[job].spec.kind;
-        let declared_ms = self
-            .catalogue
-            .kind(name)
-            .map_or(0.0, |kind| kind.expected_run_ms as f64);
-        let epoch = self.row.epoch;
+    fn place(&mut self, flow: FlowKey, round: &Round, actions: &mut Vec<Action>) -> Option<Key> {
+        let flow = self.queue.get(flow);
+        let wanted = Wanted {
+            kind: &flow.kind,
+            lane: flow.lane,
+            pressed: round.pressed,
+        };
+        let (epoch, basis) = (self.row.epoch, round.basis);
         let mut rng = self.rng.clone();
-        let chosen = self
-            .fleet
-            .choose(self.policy, name, declared_ms, &mut rng, |agent| {
-                self.in_service(agent) && agent.epoch <= epoch && agent.has_fresh_permit(basis)
-            });
+        let chosen = self.fleet.choose(self.policy, wanted, &mut rng, |agent| {
+            self.in_service(agent) && agent.epoch <= epoch && agent.has_fresh_permit(basis)
+        });
         self.rng = rng;
         if chosen.is_none() && self.fleet.lacks_permit(basis) {
-            self.hasten_beat(now, actions);
+            self.hasten_beat(round.now, actions);
         }
         chosen
     }
 
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "one step of a dispatch round, private to it"
-    )]
-    fn send(
-        &mut self,
-        job: JobKey,
-        index: u32,
-        attempt: u32,
-        key: Key,
-        basis: Mono,
-        now: Now,
-        orders: &mut HashMap<Key, Order>,
-    ) {
+    /// Sends the first task of a flow to an agent.
+    fn send(&mut self, flow: FlowKey, key: Key, round: &mut Round) {
+        let Round {
+            basis, now, orders, ..
+        } = round;
+        let (lane, work_ms) = {
+            let flow = self.queue.get(flow);
+            (flow.lane, self.work_ms(&flow.kind))
+        };
+        let Some((job, index)) = self.queue.pop(flow, work_ms) else {
+            return;
+        };
+        let TaskState::Queued { attempts } = self.jobs[job].tasks[index as usize] else {
+            return;
+        };
+        let attempt = attempts + 1;
         let blank = self.order(key);
-        self.fleet.record_dispatch(key);
+        self.fleet.record_dispatch(key, lane, work_ms);
         let agent = &mut self.fleet.agents[key];
         let order = orders.entry(key).or_insert(blank);
-        order.permit = agent.permit(basis);
+        order.permit = agent.permit(*basis);
         agent.record_permit(order.permit);
         let record = &mut self.jobs[job];
         record.tasks[index as usize] = TaskState::Dispatched {
@@ -103,7 +151,7 @@
             attempt,
         };
         record.note(
-            now,
+            *now,
             StepKind::Dispatched {
                 index,
                 attempt,
@@ -122,3 +170,11 @@
         });
     }
 }
+
+fn lane(tasks: usize) -> Lane {
+    if tasks <= SHORT_TASKS {
+        Lane::Short
+    } else {
+        Lane::Long
+    }
+}
--- a/crates/core/src/entry/fleet.rs
+++ b/crates/core/src/entry/fleet.rs
@@ -27,6 +27,7 @@
         for outcome in report.outcomes {
             self.ended(key, outcome, now, actions);
         }
+        self.fleet.reindex(key);
     }
 
     /// Returns the agent behind a connection, after its first report has named it.
@@ -89,10 +90,12 @@
             let agent = &mut self.fleet.agents[key];
             agent.link = None;
             agent.heard = now.mono;
+            self.fleet.reindex(key);
         }
     }
 
     pub(super) fn tick_fleet(&mut self, now: Now, actions: &mut Vec<Action>) {
+        self.fleet.review(now.mono, self.row.members.len());
         let silence = self.timing.agent_silence;
         let lost: Vec<Key> = self
             .fleet
--- a/crates/core/src/entry/outcome.rs
+++ b/crates/core/src/entry/outcome.rs
@@ -42,6 +42,7 @@
         let agent = &mut self.fleet.agents[key];
         agent.outstanding = agent.outstanding.saturating_sub(1);
         let name = agent.hello.agent.clone();
+        self.fleet.reindex(key);
         let index = task.index;
         if let End::NotStarted(reason) = end {
             return self.not_started(job, index, attempt, key, reason, now, actions);
@@ -114,7 +115,7 @@
         let record = &mut self.jobs[job];
         record.note(now, step);
         record.tasks[index as usize] = TaskState::Queued { attempts: attempt };
-        self.queue.push_front((job, index));
+        self.requeue(job, index);
         actions.push(Action::Retried(retry(reason)));
         if reason == NotStarted::Stale {
             self.hasten_beat(now, actions);
@@ -132,8 +133,10 @@
         now: Now,
         actions: &mut Vec<Action>,
     ) {
+        let run = std::time::Duration::from_micros(run_us);
+        let declared_ms = self.declared_ms(&self.jobs[job].spec.kind);
         let record = &mut self.jobs[job];
-        self.fleet.agents[key].learn(&record.spec.kind, std::time::Duration::from_micros(run_us));
+        self.fleet.learn(key, &record.spec.kind, declared_ms, run);
         record.tasks[index as usize] = TaskState::Done(output);
         record.open -= 1;
         if record.open > 0 {
@@ -165,7 +168,7 @@
         let record = &mut self.jobs[job];
         if record.spec.idempotent && attempt < IDEMPOTENT_RUNS {
             record.tasks[index as usize] = TaskState::Queued { attempts: attempt };
-            self.queue.push_front((job, index));
+            self.requeue(job, index);
             return actions.push(Action::Retried(Retry::Idempotent));
         }
         self.finish(
@@ -200,6 +203,7 @@
         actions: &mut Vec<Action>,
     ) {
         self.recall_all(key, actions);
+        self.queue.remove(key);
         let job = &mut self.jobs[key];
         assert!(
             job.answer.is_none(),
@@ -228,7 +232,8 @@
     /// Takes back what agents still hold of a job.
     fn recall_all(&mut self, key: JobKey, actions: &mut Vec<Action>) {
         let job = &self.jobs[key];
-        let mut held: std::collections::HashMap<Key, Vec<Task>> = std::collections::HashMap::new();
+        let mut held: std::collections::BTreeMap<Key, Vec<Task>> =
+            std::collections::BTreeMap::new();
         for (index, state) in job.tasks.iter().enumerate() {
             if let TaskState::Dispatched { agent, .. } = state {
                 held.entry(*agent).or_default().push(Task {
@@ -249,6 +254,7 @@
                     },
                 });
             }
+            self.fleet.reindex(agent);
         }
     }
 
--- a/crates/core/src/entry/submit.rs
+++ b/crates/core/src/entry/submit.rs
@@ -369,11 +369,10 @@
             spec,
         };
         job.note(now, step);
-        let open = job.open;
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
         self.deadlines.insert((deadline, key));
-        self.queue.extend((0..open).map(|index| (key, index)));
+        self.enqueue(key, now);
     }
 
     /// Remembers that nothing of the id ever starts, and says so.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod catalogue;
 pub mod control;
 pub mod entry;
+pub mod fair_queue;
 pub mod frame;
 pub mod job;
 pub mod lease;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -1,13 +1,14 @@
 //! Choice of the agent for a task.
 
 mod agent;
+mod estimate;
 mod fleet;
 mod policy;
 
 use slotmap::new_key_type;
 
 pub use agent::{Agent, QUEUE_BEYOND_SLOTS};
-pub use fleet::Fleet;
+pub use fleet::{Fleet, Wanted};
 pub use policy::Policy;
 
 new_key_type! {
--- a/crates/core/src/placement/agent.rs
+++ b/crates/core/src/placement/agent.rs
@@ -3,18 +3,29 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use smallvec::SmallVec;
+
+use super::estimate::{Mean, Work};
 use crate::frame::{Hello, Load};
 use crate::time::Mono;
 
 /// Tasks that an agent may hold beyond its slots, enough to hide a round trip.
 pub const QUEUE_BEYOND_SLOTS: u32 = 1;
 
-/// Weight of the newest run time in the moving average.
-const LEARNING_RATE: f64 = 0.2;
+/// Shorter run times count as this, since their logarithm is taken.
+const SHORTEST_RUN_MS: f64 = 0.1;
 
 /// Stamps kept for each agent; the fence needs one older than the lease's question.
 const STAMPS: usize = 32;
 
+/// Where an agent stands in the index of one kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Place {
+    pub(super) kind: usize,
+    pub(super) end: u64,
+    pub(super) open: bool,
+}
+
 /// What an entry knows of one agent.
 #[derive(Debug, Clone)]
 pub struct Agent {
@@ -38,7 +49,11 @@
     pub turn: u64,
     refused_permit: Option<Mono>,
     last_permit: Option<Mono>,
-    run_ms: HashMap<String, f64>,
+    slowness: Mean,
+    deviations: HashMap<String, Mean>,
+    /// Whether its fast slots are kept for short jobs.
+    pub reserved: bool,
+    pub(super) places: SmallVec<[Place; 4]>,
     stamps: Vec<(Mono, Mono)>,
 }
 
@@ -57,7 +72,10 @@
             turn: 0,
             refused_permit: None,
             last_permit: None,
-            run_ms: HashMap::new(),
+            slowness: Mean::new(0.0),
+            deviations: HashMap::new(),
+            reserved: false,
+            places: SmallVec::new(),
             stamps: Vec::new(),
         }
     }
@@ -94,14 +112,31 @@
         self.refused_permit = self.last_permit;
     }
 
+    /// Returns the run time of a kind here over its run time on a server of slowness 1.
+    pub fn slowness(&self, kind: &str) -> f64 {
+        self.log_slowness(kind).exp()
+    }
+
+    fn log_slowness(&self, kind: &str) -> f64 {
+        let deviation = self.deviations.get(kind).map_or(0.0, Mean::value);
+        self.slowness.value() + deviation
+    }
+
     /// Learns from a task that ran for `run`.
-    pub fn learn(&mut self, kind: &str, run: Duration) {
+    pub fn learn(&mut self, kind: &str, run: Duration, work: &mut Work) {
         let run_ms = run.as_secs_f64() * 1_000.0;
-        match self.run_ms.get_mut(kind) {
-            Some(mean) => *mean += LEARNING_RATE * (run_ms - *mean),
-            None => {
-                self.run_ms.insert(kind.to_owned(), run_ms);
-            }
+        let log_ms = run_ms.max(SHORTEST_RUN_MS).ln();
+        let log_slowness = self.log_slowness(kind);
+        let log_work = work.log_ms.value();
+        let deviation = log_slowness - self.slowness.value();
+        work.ms.learn(run_ms / log_slowness.exp());
+        work.log_ms.learn(log_ms - log_slowness);
+        self.slowness.learn(log_ms - log_work - deviation);
+        if !self.deviations.contains_key(kind) {
+            self.deviations.insert(kind.to_owned(), Mean::deviation());
+        }
+        if let Some(known) = self.deviations.get_mut(kind) {
+            known.learn(log_ms - log_work - self.slowness.value());
         }
     }
 
@@ -112,15 +147,19 @@
 
     /// Returns whether it may be sent another task.
     pub fn has_room(&self) -> bool {
-        self.link.is_some()
-            && !self.hello.leaving
-            && self.occupied() < self.hello.slots + QUEUE_BEYOND_SLOTS
+        self.is_reachable() && self.occupied() < self.hello.slots + QUEUE_BEYOND_SLOTS
+    }
+
+    /// Returns whether tasks can be sent to it at all.
+    pub fn is_reachable(&self) -> bool {
+        self.link.is_some() && !self.hello.leaving && self.hello.slots > 0
     }
 
-    /// Returns the expected time until a task of the kind dispatched now would end.
-    pub fn expected_end_ms(&self, kind: &str, declared_ms: f64) -> f64 {
-        let run_ms = self.run_ms.get(kind).copied().unwrap_or(declared_ms);
+    /// Returns the expected time until a task of the kind sent now would end, over its run time
+    /// on a server of slowness 1.
+    pub fn expected_end(&self, kind: &str) -> f64 {
+        let slots = f64::from(self.hello.slots.max(1));
         let ahead = f64::from((self.occupied() + 1).saturating_sub(self.hello.slots));
-        run_ms + ahead * run_ms / f64::from(self.hello.slots.max(1))
+        self.slowness(kind) * (1.0 + ahead / slots)
     }
 }
--- a/crates/core/src/placement/policy.rs
+++ b/crates/core/src/placement/policy.rs
@@ -2,8 +2,6 @@
 
 use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 
-use super::Agent;
-
 /// A way to choose the agent; all but the default are baselines for measurements.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Display, EnumIter, EnumString, IntoStaticStr,
@@ -23,13 +21,3 @@
     #[default]
     ExpectedEnd,
 }
-
-impl Policy {
-    /// Returns whether the agent may be sent another task.
-    pub fn has_room(self, agent: &Agent) -> bool {
-        match self {
-            Self::ExpectedEnd => agent.has_room(),
-            _ => agent.link.is_some() && !agent.hello.leaving,
-        }
-    }
-}
