--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -10,7 +10,7 @@
 mod takeover;
 mod trace;
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use rand::SeedableRng;
@@ -19,10 +19,11 @@
 
 use crate::catalogue::Catalogue;
 use crate::control::{Member, Row};
+use crate::fair_queue::Queue;
 use crate::frame::{Order, Report};
 use crate::job::{Answer, Id, Spec};
 use crate::lease::{Lease, Takeover};
-use crate::placement::Fleet;
+use crate::placement::{Fleet, Policy};
 use crate::refusal::Retry;
 use crate::settings::{Bounds, Timing};
 use crate::skew::Clocks;
@@ -315,10 +316,11 @@
     catalogue: Catalogue,
     catalogue_version: u64,
     fleet: Fleet,
+    policy: Policy,
     links: HashMap<u64, crate::placement::Key>,
     jobs: SlotMap<JobKey, Job>,
     by_id: HashMap<Id, JobKey>,
-    queue: VecDeque<(JobKey, u32)>,
+    queue: Queue<JobKey>,
     forwards: HashMap<Waiter, Question>,
     parked: Vec<control::Parked>,
     inquiries: HashMap<Id, takeover::Inquiry>,
@@ -353,10 +355,11 @@
             catalogue: Catalogue::default(),
             catalogue_version: 0,
             fleet: Fleet::new(),
+            policy: Policy::default(),
             links: HashMap::new(),
             jobs: SlotMap::with_key(),
             by_id: HashMap::new(),
-            queue: VecDeque::new(),
+            queue: Queue::new(),
             forwards: HashMap::new(),
             parked: Vec::new(),
             inquiries: HashMap::new(),
@@ -377,6 +380,13 @@
         }
     }
 
+    /// Sets the policy by which agents are chosen.
+    #[must_use]
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Decides on one event.
     pub fn handle(&mut self, event: Event, now: Now, actions: &mut Vec<Action>) {
         match event {
