feat: let operators change the catalogue and service states

Cause: operators had no way to change anything but by writing rows by hand. Change: an entry proposes each change as one conditional write of the control row, settles a lost answer by the change id in the row, and reports it once no entry can decide under an earlier epoch. Catalogue files are TOML, checked by line and field. Data centres and backend servers go out of service and come back by a ramp. Operators present a token when one is configured.

--- a/crates/core/src/catalogue.rs
+++ b/crates/core/src/catalogue.rs
@@ -1,8 +1,15 @@
 //! The catalogue: owners with their quotas, and kinds of task with their limits.
 
+mod change;
+mod check;
+mod file;
+
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
 
+pub use check::{Limits, Problem, is_name};
+pub use file::{Fault, File};
+
 /// All entries of the catalogue.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -53,8 +53,24 @@
     pub written: Wall,
     /// Earlier sets of members within the window, oldest first.
     pub past: Vec<Past>,
+    /// Latest changes by operators, oldest first, so that a lost answer can be settled.
+    #[serde(default)]
+    pub changes: Vec<Change>,
 }
 
+/// An operator's change that was written.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Change {
+    /// Id that the operator gave it.
+    pub id: String,
+    /// The epoch that it made.
+    pub epoch: u64,
+}
+
+/// Changes by operators that the row keeps.
+const CHANGES: usize = 64;
+
 impl Row {
     /// Returns the member of the name.
     pub fn member(&self, name: &str) -> Option<&Member> {
@@ -111,6 +127,24 @@
         row
     }
 
+    /// Returns the row with the next epoch for an operator's change, which the caller then makes.
+    #[must_use]
+    pub fn with_operator_change(&self, id: &str, now: Wall) -> Self {
+        let mut row = self.with_change(id, now);
+        let surplus = (row.changes.len() + 1).saturating_sub(CHANGES);
+        row.changes.drain(..surplus);
+        row.changes.push(Change {
+            id: id.to_owned(),
+            epoch: row.epoch,
+        });
+        row
+    }
+
+    /// Returns an operator's change that is kept.
+    pub fn operator_change(&self, id: &str) -> Option<&Change> {
+        self.changes.iter().find(|change| change.id == id)
+    }
+
     fn remember(&mut self, previous: &Self, now: Wall, window: Duration) {
         self.past.push(Past {
             epoch: previous.epoch,
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -5,6 +5,7 @@
 mod control;
 mod dispatch;
 mod fleet;
+pub mod operator;
 mod outcome;
 mod submit;
 mod trace;
@@ -138,6 +139,23 @@
         /// Its entries.
         catalogue: Catalogue,
     },
+    /// An operator asks for a change or a view.
+    Operate {
+        /// Number of the operator's request, chosen by the edge.
+        request: operator::Request,
+        /// What is asked.
+        question: operator::Question,
+    },
+    /// The catalogue of a version was written.
+    CatalogueWritten {
+        /// Its version.
+        version: u64,
+    },
+    /// The catalogue of a version exists already; another operator's change wrote it.
+    CatalogueTaken {
+        /// The version.
+        version: u64,
+    },
     /// The process was asked to stop.
     Stop,
     /// Time passed.
@@ -214,6 +232,20 @@
         /// The version.
         version: u64,
     },
+    /// Write the catalogue of a version that must not exist yet.
+    WriteCatalogue {
+        /// The version.
+        version: u64,
+        /// Its entries.
+        catalogue: Catalogue,
+    },
+    /// Answer an operator.
+    Tell {
+        /// Number of the operator's request.
+        request: operator::Request,
+        /// The answer.
+        answer: operator::Answer,
+    },
     /// Count a task that is dispatched again.
     Retried(Retry),
 }
@@ -270,6 +302,7 @@
     next_read: Mono,
     asked_epoch: u64,
     leaving: bool,
+    operator: operator::State,
 }
 
 impl Entry {
@@ -302,6 +335,7 @@
             next_read: Mono(0),
             asked_epoch: 0,
             leaving: false,
+            operator: operator::State::new(),
         }
     }
 
@@ -354,24 +388,35 @@
                 epoch,
                 sent,
             } => {
+                self.note_epoch(&member, epoch);
                 self.beat_answered(&member, epoch, sent, now, actions);
             }
             Event::RowRead { sent, version, row } => {
                 self.row_read(sent, version, row, now, actions);
+                self.services_changed(now, actions);
             }
             Event::RowConflict => actions.push(Action::ReadRow),
             Event::CatalogueRead { version, catalogue } => {
                 self.catalogue_read(version, catalogue);
             }
+            Event::Operate { request, question } => {
+                self.operate(request, question, now, actions);
+            }
+            Event::CatalogueWritten { version } => {
+                self.catalogue_written(version, now, actions);
+            }
+            Event::CatalogueTaken { version } => self.catalogue_taken(version, now, actions),
             Event::Stop => self.stop(now, actions),
             Event::Tick => self.tick(now, actions),
         }
+        self.advance_changes(now, actions);
         self.dispatch(now, actions);
     }
 
     fn tick(&mut self, now: Now, actions: &mut Vec<Action>) {
         self.tick_control(now, actions);
         self.tick_fleet(now, actions);
+        self.recall_from_out_of_service(actions);
         self.tick_jobs(now, actions);
     }
 
@@ -383,6 +428,7 @@
     /// Returns whether this entry may decide, takes new work and knows the catalogue in force.
     pub fn is_ready(&self, now: Now) -> bool {
         !self.leaving
+            && !self.hands_over()
             && self.lease_basis(now).is_some()
             && self.catalogue_version == self.row.catalogue
     }
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -65,7 +65,10 @@
             .map_or(0.0, |kind| kind.expected_run_ms as f64);
         let epoch = self.row.epoch;
         let chosen = self.fleet.choose(name, declared_ms, |agent| {
-            self.in_service(agent) && agent.epoch <= epoch && agent.has_fresh_permit(basis)
+            self.in_service(agent)
+                && self.within_ramp(agent, now)
+                && agent.epoch <= epoch
+                && agent.has_fresh_permit(basis)
         });
         if chosen.is_none() && self.fleet.lacks_permit(basis) {
             self.hasten_beat(now, actions);
--- a/crates/core/src/entry/fleet.rs
+++ b/crates/core/src/entry/fleet.rs
@@ -127,7 +127,7 @@
         self.links.retain(|_link, other| *other != key);
     }
 
-    fn attempts_on(&self, key: Key) -> Vec<Attempt> {
+    pub(super) fn attempts_on(&self, key: Key) -> Vec<Attempt> {
         let mut attempts = Vec::new();
         for job in self.jobs.values().filter(|job| !job.is_ended()) {
             for (index, state) in (0..).zip(&job.tasks) {
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -16,6 +16,7 @@
 use tiny_http::{Method, Request};
 
 use crate::metrics::Metrics;
+use crate::operator::Desk;
 use crate::responder::{self, Form, Waiters};
 
 /// Timeout of a job that names none.
@@ -28,6 +29,8 @@
     pub events: Sender<Event>,
     /// Those who wait for an answer.
     pub waiters: Waiters,
+    /// Those who ask as operators.
+    pub operators: Desk,
     /// Metrics of the entry.
     pub metrics: Metrics,
     /// Whether the entry takes new work.
@@ -56,6 +59,9 @@
 
 /// Serves one request: answers it, or hands it to the decider.
 pub fn handle(context: &Context, request: Request) {
+    let Some(request) = context.operators.handle(request) else {
+        return;
+    };
     let path = request
         .url()
         .split('?')
--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -1,5 +1,10 @@
 //! The command line of `ibisspool`.
 
+mod client;
+pub mod exit;
+mod operate;
+mod show;
+
 use std::ffi::OsString;
 
 use clap::{Arg, ArgAction, ArgMatches, Command};
@@ -21,12 +26,13 @@
                 .action(ArgAction::SetTrue)
                 .help("Check the settings and exit"),
         );
-    Command::new("ibisspool")
+    let command = Command::new("ibisspool")
         .about("Dispatcher for sub-second tasks")
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .subcommand(Settings::add_flags(serve))
+        .subcommand(Settings::add_flags(serve));
+    operate::add_commands(command)
 }
 
 /// Runs the command line and returns the exit code.
@@ -43,7 +49,7 @@
     };
     match matches.subcommand() {
         Some(("serve", matches)) => run_serve(matches),
-        _ => kernel_settings::INVALID,
+        _ => operate::run(&matches),
     }
 }
 
--- /dev/null
+++ b/crates/entry/src/cli/operate.rs
@@ -0,0 +1,349 @@
+//! The operator commands.
+
+use std::time::Duration;
+
+use attohttpc::Method;
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use ibisspool_core::catalogue::{Catalogue, File, Limits, is_name};
+use ibisspool_core::entry::operator::{End, Outcome, Service};
+use ibisspool_core::settings::Timing;
+use ibisspool_kernel::settings::{flag, read_within};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use super::client::{Answer, Client};
+use super::{exit, show};
+use crate::settings::{operator_token_flag, read_operator_token};
+
+/// Longest time that a command may wait.
+const MAX_TIMEOUT_MS: u64 = 600_000;
+
+/// What the exit codes mean, shown below the help of each command.
+const EXIT_CODES: &str = "Exit codes: 0 in force or shown, 2 bad usage or file, 3 not accepted, \
+4 written but not confirmed by all, 5 no answer";
+
+/// A command that ends without an entry's answer, with its exit code.
+#[derive(Debug)]
+struct Failure {
+    code: i32,
+    message: String,
+}
+
+impl Failure {
+    fn invalid(message: impl Into<String>) -> Self {
+        Self {
+            code: exit::INVALID,
+            message: message.into(),
+        }
+    }
+}
+
+/// Adds the operator commands.
+pub fn add_commands(command: Command) -> Command {
+    command
+        .subcommand(catalogue_command())
+        .subcommand(service_command(
+            "data-centre",
+            "Take a data centre out of service or bring it back",
+        ))
+        .subcommand(service_command(
+            "backend",
+            "Take a backend server out of service or bring it back",
+        ))
+        .subcommand(view("status", "Show an entry's view of the region"))
+        .subcommand(view("explain", "Show what happened to a job").arg(name("job", "JOB")))
+}
+
+fn catalogue_command() -> Command {
+    let put = change(
+        "put",
+        "Merge the entries of a file into the catalogue, as one change",
+    )
+    .arg(name("file", "FILE"))
+    .arg(
+        Arg::new("dry-run")
+            .long("dry-run")
+            .action(ArgAction::SetTrue)
+            .help("Only show what would change"),
+    );
+    Command::new("catalogue")
+        .about("Show and change the catalogue")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(view("list", "List owners and kinds"))
+        .subcommand(view("get", "Show a kind as it stands in a file").arg(name("kind", "KIND")))
+        .subcommand(put)
+        .subcommand(change("delete", "Delete a kind").arg(name("kind", "KIND")))
+}
+
+fn service_command(word: &'static str, about: &'static str) -> Command {
+    let force = || {
+        Arg::new("force")
+            .long("force")
+            .action(ArgAction::SetTrue)
+            .help("Do it although work would be refused, or the name is not known yet")
+    };
+    let command = |word, about| change(word, about).arg(name("name", "NAME")).arg(force());
+    Command::new(word)
+        .about(about)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(command("out", "Let no task start there any more"))
+        .subcommand(command("in", "Let tasks start there again"))
+}
+
+fn name(id: &'static str, value: &'static str) -> Arg {
+    Arg::new(id).value_name(value).required(true)
+}
+
+fn view(word: &'static str, about: &'static str) -> Command {
+    Command::new(word)
+        .about(about)
+        .after_help(EXIT_CODES)
+        .arg(
+            flag(
+                "entry",
+                "URL",
+                "Base URL of an entry, or several with commas between",
+            )
+            .default_value("http://127.0.0.1:8080"),
+        )
+        .arg(operator_token_flag())
+        .arg(flag("timeout-ms", "MS", "How long to wait for the answer").default_value("13000"))
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print the answer as JSON"),
+        )
+}
+
+fn change(word: &'static str, about: &'static str) -> Command {
+    view(word, about).arg(
+        Arg::new("change")
+            .long("change")
+            .value_name("ID")
+            .help("Id of the change, to repeat one whose answer was lost [default: a new one]"),
+    )
+}
+
+/// Runs an operator command and returns the exit code.
+pub fn run(matches: &ArgMatches) -> i32 {
+    match dispatch(matches) {
+        Ok(code) => code,
+        Err(failure) => {
+            eprintln!("error: {}", failure.message);
+            failure.code
+        }
+    }
+}
+
+fn dispatch(matches: &ArgMatches) -> Result<i32, Failure> {
+    match matches.subcommand() {
+        Some(("catalogue", matches)) => match matches.subcommand() {
+            Some(("list", matches)) => list(matches),
+            Some(("get", matches)) => get(matches),
+            Some(("put", matches)) => put(matches),
+            Some(("delete", matches)) => delete(matches),
+            _ => Ok(exit::INVALID),
+        },
+        Some(("data-centre", matches)) => service(matches, "data-centres"),
+        Some(("backend", matches)) => service(matches, "backends"),
+        Some(("status", matches)) => status(matches),
+        Some(("explain", matches)) => explain(matches),
+        _ => Ok(exit::INVALID),
+    }
+}
+
+fn text<'a>(matches: &'a ArgMatches, name: &str) -> &'a str {
+    matches.get_one::<String>(name).map_or("", String::as_str)
+}
+
+fn checked_name<'a>(matches: &'a ArgMatches, id: &str) -> Result<&'a str, Failure> {
+    let name = text(matches, id);
+    if is_name(name) {
+        return Ok(name);
+    }
+    Err(Failure::invalid(format!(
+        "`{name}` is not a name; use letters, digits, dots, hyphens and underscores"
+    )))
+}
+
+fn call(matches: &ArgMatches, method: &Method, path: &str, body: &str) -> Result<Answer, Failure> {
+    let invalid = |error: ibisspool_kernel::settings::Error| Failure::invalid(error.to_string());
+    let timeout_ms = read_within(matches, "timeout-ms", 1, MAX_TIMEOUT_MS).map_err(invalid)?;
+    let token = read_operator_token(matches).map_err(invalid)?;
+    let timeout = Duration::from_millis(timeout_ms);
+    let client = Client::new(text(matches, "entry"), token, timeout);
+    client.call(method, path, body).map_err(|error| Failure {
+        code: exit::NO_ANSWER,
+        message: error.to_string(),
+    })
+}
+
+/// Asks for a view, prints it and returns the exit code.
+fn show_view<T, F>(matches: &ArgMatches, path: &str, form: F) -> Result<i32, Failure>
+where
+    T: DeserializeOwned,
+    F: FnOnce(&T) -> String,
+{
+    let answer = call(matches, &Method::GET, path, "")?;
+    if answer.status != 200 {
+        return Ok(refused(&answer.body));
+    }
+    if matches.get_flag("json") {
+        println!("{}", answer.body);
+        return Ok(exit::IN_FORCE);
+    }
+    println!("{}", form(&decode(answer.body)?));
+    Ok(exit::IN_FORCE)
+}
+
+fn decode<T>(body: Value) -> Result<T, Failure>
+where
+    T: DeserializeOwned,
+{
+    serde_json::from_value(body).map_err(|error| Failure {
+        code: exit::NO_ANSWER,
+        message: format!("the entry's answer cannot be read: {error}; use the entry's own version"),
+    })
+}
+
+/// Prints a problem answer of an entry.
+fn refused(body: &Value) -> i32 {
+    let field = |name: &str| body.get(name).and_then(Value::as_str).unwrap_or("unknown");
+    eprintln!("not accepted: {}: {}", field("reason"), field("detail"));
+    exit::NOT_ACCEPTED
+}
+
+#[derive(Debug, Deserialize)]
+struct Held {
+    version: u64,
+    catalogue: Catalogue,
+}
+
+fn list(matches: &ArgMatches) -> Result<i32, Failure> {
+    show_view(matches, "/v1/catalogue", |held: &Held| {
+        show::catalogue(held.version, &held.catalogue)
+    })
+}
+
+fn get(matches: &ArgMatches) -> Result<i32, Failure> {
+    let name = checked_name(matches, "kind")?;
+    let answer = call(matches, &Method::GET, "/v1/catalogue", "")?;
+    if answer.status != 200 {
+        return Ok(refused(&answer.body));
+    }
+    let held: Held = decode(answer.body)?;
+    let Some(kind) = held.catalogue.kind(name) else {
+        eprintln!(
+            "not accepted: catalogue {} has no kind `{name}`",
+            held.version
+        );
+        return Ok(exit::NOT_ACCEPTED);
+    };
+    if matches.get_flag("json") {
+        println!("{}", serde_json::json!(kind));
+    } else {
+        println!("{}", show::kind(kind));
+    }
+    Ok(exit::IN_FORCE)
+}
+
+fn put(matches: &ArgMatches) -> Result<i32, Failure> {
+    let path = text(matches, "file");
+    let content = std::fs::read_to_string(path)
+        .map_err(|error| Failure::invalid(format!("cannot read {path}: {error}")))?;
+    check_file(path, &content)?;
+    let dry_run = matches.get_flag("dry-run");
+    propose(
+        matches,
+        &Method::PUT,
+        "/v1/catalogue",
+        &content,
+        &format!("&dry_run={dry_run}"),
+    )
+}
+
+/// Checks a file before any entry is asked.
+fn check_file(path: &str, content: &str) -> Result<(), Failure> {
+    let file =
+        File::parse(content).map_err(|fault| Failure::invalid(format!("{path}, {fault}")))?;
+    let window = Timing::default().window;
+    let faults = file.faults(Limits { window });
+    if faults.is_empty() {
+        return Ok(());
+    }
+    let lines: Vec<String> = faults
+        .iter()
+        .map(|fault| format!("{path}, {fault}"))
+        .collect();
+    Err(Failure::invalid(lines.join("\n")))
+}
+
+fn delete(matches: &ArgMatches) -> Result<i32, Failure> {
+    let path = format!("/v1/catalogue/{}", checked_name(matches, "kind")?);
+    propose(matches, &Method::DELETE, &path, "", "")
+}
+
+fn service(matches: &ArgMatches, collection: &str) -> Result<i32, Failure> {
+    let Some((word, matches)) = matches.subcommand() else {
+        return Ok(exit::INVALID);
+    };
+    let state = if word == "out" {
+        Service::Out
+    } else {
+        Service::In
+    };
+    let path = format!("/v1/{collection}/{}", checked_name(matches, "name")?);
+    let force = format!("&force={}", matches.get_flag("force"));
+    propose(matches, &Method::PUT, &path, &state.to_string(), &force)
+}
+
+/// Asks for a change, prints its outcome and returns the exit code.
+fn propose(
+    matches: &ArgMatches,
+    method: &Method,
+    path: &str,
+    body: &str,
+    parameters: &str,
+) -> Result<i32, Failure> {
+    let id = match matches.get_one::<String>("change") {
+        Some(_named) => checked_name(matches, "change")?.to_owned(),
+        None => uuid::Uuid::now_v7().to_string(),
+    };
+    let timeout_ms = text(matches, "timeout-ms");
+    let path = format!("{path}?change={id}&timeout_ms={timeout_ms}{parameters}");
+    let answer = call(matches, method, &path, body).map_err(|failure| Failure {
+        message: format!(
+            "{}; repeat with --change {id} to learn what became of it",
+            failure.message
+        ),
+        ..failure
+    })?;
+    if answer.body.get("outcome").is_none() {
+        return Ok(refused(&answer.body));
+    }
+    let outcome: Outcome = decode(answer.body.clone())?;
+    if matches.get_flag("json") {
+        println!("{}", answer.body);
+    } else {
+        println!("{}", show::outcome(&outcome));
+    }
+    Ok(match outcome.end {
+        End::InForce { .. } | End::DryRun => exit::IN_FORCE,
+        End::NotAccepted { .. } => exit::NOT_ACCEPTED,
+        End::Written { .. } => exit::NOT_CONFIRMED,
+        End::Unsettled { .. } => exit::NO_ANSWER,
+    })
+}
+
+fn status(matches: &ArgMatches) -> Result<i32, Failure> {
+    show_view(matches, "/v1/status", show::status)
+}
+
+fn explain(matches: &ArgMatches) -> Result<i32, Failure> {
+    let path = format!("/v1/jobs/{}/trace", checked_name(matches, "job")?);
+    show_view(matches, &path, show::trace)
+}
--- a/crates/entry/src/decider.rs
+++ b/crates/entry/src/decider.rs
@@ -9,6 +9,7 @@
 use ibisspool_kernel::clock::Clock;
 
 use crate::metrics::Metrics;
+use crate::operator::Desk;
 use crate::peers::Peers;
 use crate::responder::Waiters;
 use crate::store;
@@ -27,6 +28,8 @@
     pub peers: Peers,
     /// Those who wait for an answer.
     pub waiters: Waiters,
+    /// Operators who wait for an answer.
+    pub operators: Desk,
     /// Mailbox of the store part.
     pub store: Sender<store::Request>,
     /// Metrics of the entry.
@@ -50,7 +53,7 @@
                 Err(RecvTimeoutError::Disconnected) => return,
             };
             self.step(event);
-            if self.entry.is_drained() && self.waiters.is_empty() {
+            if self.entry.is_drained() && self.waiters.is_empty() && self.operators.is_empty() {
                 return;
             }
         }
@@ -88,6 +91,13 @@
             Action::ReadCatalogue { version } => {
                 store::ask(&self.store, store::Request::ReadCatalogue { version });
             }
+            Action::WriteCatalogue { version, catalogue } => {
+                store::ask(
+                    &self.store,
+                    store::Request::WriteCatalogue { version, catalogue },
+                );
+            }
+            Action::Tell { request, answer } => self.operators.tell(request, answer),
             Action::Retried(reason) => {
                 self.metrics
                     .retries
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -31,6 +31,8 @@
     pub malformed: IntCounter,
     /// Reads and writes of the table service, by outcome.
     pub store: IntCounterVec,
+    /// Operators' changes by outcome.
+    pub changes: IntCounterVec,
     /// Time from a request to its answer, in seconds.
     pub response: Histogram,
     /// Time of a task in its agent's queue, in seconds.
@@ -87,6 +89,11 @@
                 "Calls of the table service by outcome",
                 "outcome",
             ),
+            changes: family(
+                "ibisspool_changes_total",
+                "Operators' changes by outcome",
+                "outcome",
+            ),
             response: histogram(
                 "ibisspool_response_seconds",
                 "Time from a request to its answer",
--- /dev/null
+++ b/crates/entry/src/operator.rs
@@ -0,0 +1,292 @@
+//! The operators' HTTP interface.
+
+use std::collections::HashMap;
+use std::str::FromStr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use anyhow::Result;
+use crossbeam::channel::Sender;
+use ibisspool_core::catalogue::{File, is_name};
+use ibisspool_core::entry::Event;
+use ibisspool_core::entry::operator::{
+    self, Answer, Edit, End, NotAccepted, Outcome, Proposal, Question, Service,
+};
+use ibisspool_core::refusal::{Ran, Reason, Refusal};
+use ibisspool_kernel::http::{self, Reply};
+use ibisspool_kernel::part::{Kernel, Name};
+use serde_json::json;
+use tiny_http::{Method, Request};
+
+use crate::metrics::Metrics;
+use crate::responder;
+use crate::secret::Secret;
+
+/// Time within which a change should be in force, if the operator names none.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(13);
+
+/// Longest time that an operator may wait.
+const MAX_TIMEOUT_MS: u64 = 600_000;
+
+/// Operators' requests that wait at the same time.
+const MAX_WAITING: usize = 512;
+
+/// Most bytes of a catalogue file.
+const FILE_BYTES: usize = 4 << 20;
+
+/// Most characters of a change id.
+const ID_LENGTH: usize = 64;
+
+type Waiting = Arc<Mutex<HashMap<operator::Request, Request>>>;
+
+/// Takes operators' requests and answers them. Clones share it.
+#[derive(Debug, Clone)]
+pub struct Desk {
+    token: Option<Secret>,
+    next: Arc<AtomicU64>,
+    waiting: Waiting,
+    outgoing: Sender<Outgoing>,
+    events: Sender<Event>,
+    metrics: Metrics,
+}
+
+/// An answer on its way out.
+#[derive(Debug)]
+struct Outgoing {
+    request: Request,
+    answer: Answer,
+}
+
+impl Desk {
+    /// Makes the desk and starts the thread that writes answers.
+    ///
+    /// # Errors
+    /// Fails if the decider is not registered.
+    pub fn start(kernel: &Kernel, token: Option<Secret>, metrics: &Metrics) -> Result<Self> {
+        let mailbox = kernel.register::<Outgoing>(Name::Operator);
+        let counted = metrics.clone();
+        kernel.spawn(Name::Operator, move || {
+            while let Ok(Outgoing { request, answer }) = mailbox.recv() {
+                http::send(request, reply(&answer, &counted));
+            }
+        });
+        Ok(Self {
+            token,
+            next: Arc::new(AtomicU64::new(1)),
+            waiting: Waiting::default(),
+            outgoing: kernel.find(Name::Operator)?,
+            events: kernel.find(Name::Decider)?,
+            metrics: metrics.clone(),
+        })
+    }
+
+    fn table(&self) -> MutexGuard<'_, HashMap<operator::Request, Request>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Answers an operator.
+    pub fn tell(&self, request: operator::Request, answer: Answer) {
+        let waiting = self.table().remove(&request);
+        if let Some(request) = waiting {
+            let _part_ended = self.outgoing.send(Outgoing { request, answer });
+        }
+    }
+
+    /// Returns whether no operator waits.
+    pub fn is_empty(&self) -> bool {
+        self.table().is_empty()
+    }
+
+    /// Serves a request of an operator; gives any other request back.
+    pub fn handle(&self, mut request: Request) -> Option<Request> {
+        let url = request.url().to_owned();
+        let (path, query) = url.split_once('?').unwrap_or((&url, ""));
+        let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        let [
+            "v1",
+            "catalogue" | "data-centres" | "backends" | "status",
+            ..,
+        ] = parts.as_slice()
+        else {
+            return Some(request);
+        };
+        let question = if self.is_authorized(&request) {
+            read_question(&mut request, &parts, query)
+        } else {
+            Err(Refusal::new(
+                Reason::Unauthorized,
+                Ran::No,
+                "operators need this entry's token; name it with --operator-token-file or IBISSPOOL_OPERATOR_TOKEN",
+            ))
+        };
+        match question.and_then(|question| self.check_room().map(|()| question)) {
+            Ok(question) => self.ask(request, question),
+            Err(refusal) => {
+                let reply = responder::refused(&refusal, None, &self.metrics);
+                http::send(request, reply);
+            }
+        }
+        None
+    }
+
+    fn ask(&self, waiting: Request, question: Question) {
+        let request = operator::Request(self.next.fetch_add(1, Ordering::Relaxed));
+        self.table().insert(request, waiting);
+        let _decider_ended = self.events.send(Event::Operate { request, question });
+    }
+
+    fn check_room(&self) -> Result<(), Refusal> {
+        if self.table().len() < MAX_WAITING {
+            return Ok(());
+        }
+        let detail = "too many operators wait at this entry; try again later";
+        Err(Refusal::new(Reason::QueueFull, Ran::No, detail).with_retry_after_ms(1_000))
+    }
+
+    fn is_authorized(&self, request: &Request) -> bool {
+        let Some(token) = &self.token else {
+            return true;
+        };
+        let mut headers = request.headers().iter();
+        let presented = headers.find(|header| header.field.equiv("Authorization"));
+        presented
+            .and_then(|header| header.value.as_str().strip_prefix("Bearer "))
+            .is_some_and(|text| token.matches(text))
+    }
+}
+
+fn read_question(request: &mut Request, parts: &[&str], query: &str) -> Result<Question, Refusal> {
+    let method = request.method().clone();
+    match (&method, parts) {
+        (Method::Get, ["v1", "status"]) => Ok(Question::Status),
+        (Method::Get, ["v1", "catalogue"]) => Ok(Question::Catalogue),
+        (Method::Put, ["v1", "catalogue"]) => {
+            let text = read_text(request)?;
+            let file = File::parse(&text).map_err(|fault| malformed(fault.to_string()))?;
+            propose(query, Edit::Put(file))
+        }
+        (Method::Delete, ["v1", "catalogue", kind]) => {
+            propose(query, Edit::DeleteKind(read_name(kind)?))
+        }
+        (Method::Put, ["v1", "data-centres", name]) => {
+            let name = read_name(name)?;
+            let state = read_state(request)?;
+            propose(query, Edit::DataCentre { name, state })
+        }
+        (Method::Put, ["v1", "backends", name]) => {
+            let name = read_name(name)?;
+            let state = read_state(request)?;
+            propose(query, Edit::Backend { name, state })
+        }
+        _ => {
+            let detail = format!(
+                "there is no {method} {}; docs/PROTOCOL.md lists the interface",
+                parts.join("/")
+            );
+            Err(Refusal::new(Reason::NotFound, Ran::No, detail))
+        }
+    }
+}
+
+fn malformed(detail: String) -> Refusal {
+    Refusal::new(Reason::Malformed, Ran::No, detail)
+}
+
+fn read_text(request: &mut Request) -> Result<String, Refusal> {
+    let body = http::read_body(request, FILE_BYTES).ok_or_else(|| {
+        let detail = format!("the file broke off or is over {FILE_BYTES} bytes; split it");
+        Refusal::new(Reason::TooLarge, Ran::No, detail)
+    })?;
+    String::from_utf8(body)
+        .map_err(|error| malformed(format!("the body is not UTF-8: {error}; save it as UTF-8")))
+}
+
+fn read_state(request: &mut Request) -> Result<Service, Refusal> {
+    let text = read_text(request)?;
+    text.trim()
+        .parse()
+        .map_err(|_error| malformed(format!("the state is `{}`; send in or out", text.trim())))
+}
+
+fn read_name(text: &str) -> Result<String, Refusal> {
+    if is_name(text) {
+        return Ok(text.to_owned());
+    }
+    let detail =
+        format!("`{text}` is not a name; use letters, digits, dots, hyphens and underscores");
+    Err(malformed(detail))
+}
+
+/// Reads the parameters that all changes share.
+fn propose(query: &str, edit: Edit) -> Result<Question, Refusal> {
+    let parameter = |name: &str| {
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find_map(|(key, value)| (key == name).then_some(value))
+    };
+    let id = parameter("change").unwrap_or_default();
+    if !is_name(id) || id.len() > ID_LENGTH {
+        let detail = "the parameter `change` is missing; name an id that no other change has";
+        return Err(malformed(detail.to_owned()));
+    }
+    let timeout_ms = read_parameter(parameter("timeout_ms"), DEFAULT_TIMEOUT.as_millis() as u64)?;
+    Ok(Question::Propose(Proposal {
+        id: id.to_owned(),
+        edit,
+        force: read_parameter(parameter("force"), false)?,
+        dry_run: read_parameter(parameter("dry_run"), false)?,
+        timeout: Duration::from_millis(timeout_ms.min(MAX_TIMEOUT_MS)),
+    }))
+}
+
+fn read_parameter<T>(text: Option<&str>, default: T) -> Result<T, Refusal>
+where
+    T: FromStr,
+{
+    let Some(text) = text else {
+        return Ok(default);
+    };
+    text.parse().map_err(|_error| {
+        malformed(format!(
+            "the parameter `{text}` is out of place; see --help"
+        ))
+    })
+}
+
+fn reply(answer: &Answer, metrics: &Metrics) -> Reply {
+    match answer {
+        Answer::Status(status) => http::json(200, status),
+        Answer::Catalogue { version, catalogue } => {
+            http::json(200, &json!({ "version": version, "catalogue": catalogue }))
+        }
+        Answer::Outcome(outcome) => {
+            let label = label(&outcome.end);
+            metrics.changes.with_label_values(&[label]).inc();
+            log::info!("operator: Change {} ended as {label}.", outcome.change);
+            http::json(status(outcome), outcome)
+        }
+    }
+}
+
+fn label(end: &End) -> &'static str {
+    match end {
+        End::InForce { .. } => "in_force",
+        End::NotAccepted { .. } => "not_accepted",
+        End::Written { .. } => "written",
+        End::Unsettled { .. } => "unsettled",
+        End::DryRun => "dry_run",
+    }
+}
+
+fn status(outcome: &Outcome) -> u16 {
+    match &outcome.end {
+        End::InForce { .. } | End::DryRun => 200,
+        End::Written { .. } => 202,
+        End::Unsettled { .. } => 504,
+        End::NotAccepted { reason, .. } => match reason {
+            NotAccepted::Conflict | NotAccepted::NeedsForce => 409,
+            NotAccepted::Invalid => 422,
+            NotAccepted::NoLease | NotAccepted::StoreUnavailable | NotAccepted::Busy => 503,
+        },
+    }
+}
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -18,6 +18,7 @@
 use crate::callers::{self, Context};
 use crate::decider::Decider;
 use crate::metrics::Metrics;
+use crate::operator::Desk;
 use crate::peers::Peers;
 use crate::responder::Waiters;
 use crate::settings::Settings;
@@ -106,6 +107,7 @@
         incarnation,
     );
     let peer_address = peers.serve(settings.peer_listen)?;
+    let operators = Desk::start(&kernel, settings.operator_token.clone(), &metrics)?;
     store::start(&kernel, &settings.platform, clock, &metrics)?;
 
     let me = Member {
@@ -119,6 +121,7 @@
         clock,
         peers,
         waiters: waiters.clone(),
+        operators: operators.clone(),
         store: kernel.find(Name::Store)?,
         metrics: metrics.clone(),
         ready: Arc::clone(&ready),
@@ -128,6 +131,7 @@
     let context = Context {
         events: events.clone(),
         waiters,
+        operators,
         metrics,
         ready,
         body_bytes: settings.body_bytes,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -2,11 +2,13 @@
 
 use std::net::SocketAddr;
 
-use clap::{ArgMatches, Command};
+use clap::{Arg, ArgMatches, Command};
 use ibisspool_core::settings::{Bounds, Timing};
 use ibisspool_kernel::log::Format;
 use ibisspool_kernel::settings::{Error, flag, read, read_name, read_within};
 
+use crate::secret::Secret;
+
 const MILLIS_PER_DAY: u64 = 86_400_000;
 
 /// Checked settings of an entry.
@@ -28,6 +30,8 @@
     pub log_level: String,
     /// Most bytes of one HTTP body.
     pub body_bytes: usize,
+    /// Token that operators must present, if any.
+    pub operator_token: Option<Secret>,
     /// Shared durations.
     pub timing: Timing,
     /// Bounds on the tables.
@@ -47,6 +51,7 @@
             log_format: Format::Text,
             log_level: "info".to_owned(),
             body_bytes: 32 << 20,
+            operator_token: None,
             timing: Timing::default(),
             bounds: Bounds::default(),
         }
@@ -92,6 +97,7 @@
                 flag("body-bytes", "BYTES", "Most bytes of one HTTP body")
                     .default_value(number(d.body_bytes)),
             )
+            .arg(operator_token_flag())
             .arg(
                 flag(
                     "window-ms",
@@ -158,6 +164,7 @@
         settings.log_format = read(matches, "log-format", "text or json")?;
         settings.log_level = text("log-level")?;
         settings.body_bytes = count("body-bytes")?;
+        settings.operator_token = read_operator_token(matches)?;
         let window = read_within(matches, "window-ms", 10_000, MILLIS_PER_DAY)?;
         settings.timing.window = std::time::Duration::from_millis(window);
         settings.bounds.jobs = count("max-jobs")?;
@@ -168,3 +175,28 @@
         Ok(settings)
     }
 }
+
+/// Environment variable that holds the operators' token.
+const OPERATOR_TOKEN: &str = "IBISSPOOL_OPERATOR_TOKEN";
+
+/// Makes the flag that names the file with the operators' token.
+pub fn operator_token_flag() -> Arg {
+    flag(
+        "operator-token-file",
+        "FILE",
+        "File with the operators' token; IBISSPOOL_OPERATOR_TOKEN may hold it instead",
+    )
+}
+
+/// Reads the operators' token from its file or environment variable, `None` if neither is named.
+///
+/// # Errors
+/// Fails if the file cannot be read or holds no token.
+pub fn read_operator_token(matches: &ArgMatches) -> Result<Option<Secret>, Error> {
+    const FLAG: &str = "operator-token-file";
+    let file = matches.get_one::<String>(FLAG).map(String::as_str);
+    Secret::read(file, OPERATOR_TOKEN).map_err(|error| {
+        let allowed = format!("a readable file with a token ({error:#})");
+        Error::new(FLAG, file.unwrap_or("absent"), allowed)
+    })
+}
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -37,6 +37,13 @@
         /// The version.
         version: u64,
     },
+    /// Write the catalogue of a version that must not exist yet.
+    WriteCatalogue {
+        /// The version.
+        version: u64,
+        /// Its entries.
+        catalogue: Catalogue,
+    },
 }
 
 /// A row of the table service.
@@ -178,6 +185,12 @@
             let catalogue = found.context("the catalogue's row is missing")?.value;
             Ok(Event::CatalogueRead { version, catalogue })
         }
+        Request::WriteCatalogue { version, catalogue } => {
+            let written = client.write(&catalogue_key(version), 0, &catalogue)?;
+            Ok(written.map_or(Event::CatalogueTaken { version }, |_row| {
+                Event::CatalogueWritten { version }
+            }))
+        }
     }
 }
 
