--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -5,6 +5,7 @@
 mod control;
 mod dispatch;
 mod fleet;
+pub mod operator;
 mod outcome;
 mod submit;
 mod takeover;
@@ -177,6 +178,23 @@
         /// Its entries.
         catalogue: Catalogue,
     },
+    /// An operator asks for a change or a view.
+    Operate {
+        /// Number of the operator's request, chosen by the edge.
+        request: operator::Request,
+        /// What is asked.
+        question: operator::Question,
+    },
+    /// The catalogue of a version was written.
+    CatalogueWritten {
+        /// Its version.
+        version: u64,
+    },
+    /// The catalogue of a version exists already; another operator's change wrote it.
+    CatalogueTaken {
+        /// The version.
+        version: u64,
+    },
     /// The process was asked to stop.
     Stop,
     /// Time passed.
@@ -275,6 +293,20 @@
         /// The version.
         version: u64,
     },
+    /// Write the catalogue of a version that must not exist yet.
+    WriteCatalogue {
+        /// The version.
+        version: u64,
+        /// Its entries.
+        catalogue: Catalogue,
+    },
+    /// Answer an operator.
+    Tell {
+        /// Number of the operator's request.
+        request: operator::Request,
+        /// The answer.
+        answer: operator::Answer,
+    },
     /// Count a task that is dispatched again.
     Retried(Retry),
 }
@@ -338,6 +370,7 @@
     joined: bool,
     left: Option<Mono>,
     released: bool,
+    operator: operator::State,
 }
 
 impl Entry {
@@ -377,6 +410,7 @@
             joined: false,
             left: None,
             released: false,
+            operator: operator::State::new(),
         }
     }
 
@@ -436,6 +470,7 @@
                 epoch,
                 sent,
             } => {
+                self.note_epoch(&member, epoch);
                 self.beat_answered(&member, epoch, sent, now, actions);
             }
             Event::Inquired { waiter, id, epoch } => {
@@ -464,20 +499,30 @@
             }
             Event::RowRead { sent, version, row } => {
                 self.row_read(sent, version, row, now, actions);
+                self.services_changed(now, actions);
             }
             Event::RowConflict => actions.push(Action::ReadRow),
             Event::CatalogueRead { version, catalogue } => {
                 self.catalogue_read(version, catalogue);
             }
+            Event::Operate { request, question } => {
+                self.operate(request, question, now, actions);
+            }
+            Event::CatalogueWritten { version } => {
+                self.catalogue_written(version, now, actions);
+            }
+            Event::CatalogueTaken { version } => self.catalogue_taken(version, now, actions),
             Event::Stop => self.stop(now, actions),
             Event::Tick => self.tick(now, actions),
         }
+        self.advance_changes(now, actions);
         self.dispatch(now, actions);
     }
 
     fn tick(&mut self, now: Now, actions: &mut Vec<Action>) {
         self.tick_control(now, actions);
         self.tick_fleet(now, actions);
+        self.recall_from_out_of_service(actions);
         self.tick_jobs(now, actions);
     }
 
@@ -488,7 +533,10 @@
 
     /// Returns whether this entry may decide, takes new work and knows the catalogue in force.
     pub fn is_ready(&self, now: Now) -> bool {
-        !self.leaving && self.may_decide(now) && self.catalogue_version == self.row.catalogue
+        !self.leaving
+            && !self.hands_over()
+            && self.may_decide(now)
+            && self.catalogue_version == self.row.catalogue
     }
 
     /// Returns whether a leaving entry has nothing left to finish, and its successors have had
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -114,7 +114,10 @@
         let (epoch, basis) = (self.row.epoch, round.basis);
         let mut rng = self.rng.clone();
         let chosen = self.fleet.choose(self.policy, wanted, &mut rng, |agent| {
-            self.in_service(agent) && agent.epoch <= epoch && agent.has_fresh_permit(basis)
+            self.in_service(agent)
+                && self.within_ramp(agent, round.now)
+                && agent.epoch <= epoch
+                && agent.has_fresh_permit(basis)
         });
         self.rng = rng;
         if chosen.is_none() && self.fleet.lacks_permit(basis) {
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -10,12 +10,13 @@
 use ibisspool_core::job::{Id, Spec};
 use ibisspool_core::refusal::{Ran, Reason, Refusal};
 use ibisspool_core::time::Wall;
-use ibisspool_kernel::http::{self, BodyError};
+use ibisspool_kernel::http;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use tiny_http::{Method, Request};
 
 use crate::metrics::Metrics;
+use crate::operator::Desk;
 use crate::responder::{self, Form, Waiters};
 
 /// Timeout of a job that names none.
@@ -28,6 +29,8 @@
     pub events: Sender<Event>,
     /// Those who wait for an answer.
     pub waiters: Waiters,
+    /// Those who ask as operators.
+    pub operators: Desk,
     /// Metrics of the entry.
     pub metrics: Metrics,
     /// Whether the entry takes new work.
@@ -56,6 +59,9 @@
 
 /// Serves one request: answers it, or hands it to the decider.
 pub fn handle(context: &Context, request: Request) {
+    let Some(request) = context.operators.handle(request) else {
+        return;
+    };
     let path = request
         .url()
         .split('?')
@@ -204,13 +210,7 @@
 }
 
 fn read_body(context: &Context, request: &mut Request, ran: Ran) -> Result<Vec<u8>, Refusal> {
-    http::read_body(request, context.body_bytes).map_err(|error| {
-        let reason = match error {
-            BodyError::TooLong(_) => Reason::TooLarge,
-            BodyError::BrokenOff | BodyError::TooSlow => Reason::Malformed,
-        };
-        Refusal::new(reason, ran, error.to_string())
-    })
+    http::read_body(request, context.body_bytes).map_err(|error| error.refusal(ran))
 }
 
 fn read_spec(body: &[u8], id: Option<&str>, ran: Ran) -> Result<Spec, Refusal> {
--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -12,7 +12,7 @@
 
 use anyhow::Result;
 use crossbeam::channel::unbounded;
-use ibisspool_core::refusal::Refusal;
+use ibisspool_core::refusal::{Ran, Reason, Refusal};
 use serde::Serialize;
 use thiserror::Error;
 use tiny_http::{Header, Method, Request, Response};
@@ -51,6 +51,17 @@
     TooSlow,
 }
 
+impl BodyError {
+    /// Returns the refusal of a request whose body could not be read.
+    pub fn refusal(self, ran: Ran) -> Refusal {
+        let reason = match self {
+            Self::TooLong(_) => Reason::TooLarge,
+            Self::BrokenOff | Self::TooSlow => Reason::Malformed,
+        };
+        Refusal::new(reason, ran, self.to_string())
+    }
+}
+
 /// Serves requests with `handle` in threads of their own.
 ///
 /// # Errors
--- a/crates/standin/src/load/world.rs
+++ b/crates/standin/src/load/world.rs
@@ -283,7 +283,10 @@
             Action::Traced { .. }
             | Action::Forward { .. }
             | Action::Misdirected { .. }
-            | Action::WriteRow { .. } => {}
+            | Action::WriteRow { .. }
+            | Action::Inquire { .. }
+            | Action::AnswerInquiry { .. }
+            | Action::ClockApart { .. } => {}
         }
         Ok(())
     }
