--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -380,6 +380,12 @@
         self.row.epoch
     }
 
+    /// Returns whether this entry is at `epoch` or later and no entry can hold a lease of an
+    /// earlier epoch than `epoch`.
+    pub fn is_in_force(&self, epoch: u64) -> bool {
+        self.row.epoch >= epoch && self.takeover.in_force(epoch)
+    }
+
     /// Returns whether this entry may decide, takes new work and knows the catalogue in force.
     pub fn is_ready(&self, now: Now) -> bool {
         !self.leaving
