fix(placement): an agent that reconnects still counts as serving its kinds

Cause: the new index lists connected agents only, so a job that arrived while the only agent of its kind reconnected was refused as no_backend and tombstoned.

--- a/crates/core/src/placement/agent.rs
+++ b/crates/core/src/placement/agent.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Returns whether the agent announces the kind and is not leaving.
+    pub fn serves(&self, kind: &str) -> bool {
+        !self.hello.leaving && self.hello.kinds.iter().any(|served| served == kind)
+    }
+
     /// Records a stamp received at `now`.
     pub fn record_stamp(&mut self, stamp: Mono, now: Mono) {
         if self.stamps.len() == STAMPS {
--- a/crates/core/src/placement/fleet.rs
+++ b/crates/core/src/placement/fleet.rs
@@ -95,15 +95,20 @@
         }
     }
 
-    /// Returns whether any agent in service serves the kind.
+    /// Returns whether any agent in service serves the kind, also one whose connection is lost
+    /// for the moment.
     pub fn serves<F>(&self, kind: &str, in_service: F) -> bool
     where
         F: Fn(&Agent) -> bool,
     {
-        self.ranking(kind).is_some_and(|ranking| {
+        let reachable = self.ranking(kind).is_some_and(|ranking| {
             let mut keys = ranking.open.iter().chain(&ranking.full);
             keys.any(|(_end, key)| in_service(&self.agents[*key]))
-        })
+        });
+        reachable || {
+            let mut lost = self.agents.values().filter(|agent| agent.link.is_none());
+            lost.any(|agent| agent.serves(kind) && in_service(agent))
+        }
     }
 
     /// Returns whether an agent with room waits for a newer permit.
--- a/crates/standin/src/load/world.rs
+++ b/crates/standin/src/load/world.rs
@@ -286,7 +286,9 @@
             | Action::WriteRow { .. }
             | Action::Inquire { .. }
             | Action::AnswerInquiry { .. }
-            | Action::ClockApart { .. } => {}
+            | Action::ClockApart { .. }
+            | Action::WriteCatalogue { .. }
+            | Action::Tell { .. } => {}
         }
         Ok(())
     }
