--- /dev/null
+++ b/crates/standin/examples/overhead.rs
@@ -0,0 +1,128 @@
+//! Measures what the path adds to a task's response time at low load, against direct calls of a
+//! backend server in the same run.
+
+use std::time::{Duration, Instant};
+
+use anyhow::{Result, ensure};
+use clap::Command;
+use hdrhistogram::Histogram;
+use ibisspool_core::control::Member;
+use ibisspool_core::job::Id;
+use ibisspool_core::rendezvous;
+use ibisspool_kernel::log as logs;
+use ibisspool_kernel::settings::{flag, read_within};
+use ibisspool_standin::caller;
+use ibisspool_standin::local::{self, ECHO, Local, Shape};
+use serde_json::json;
+
+const ENTRIES: [&str; 3] = ["north", "south", "south"];
+const SLOTS: u32 = 8;
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Response times of one way to a backend server.
+#[derive(Debug)]
+struct Way {
+    name: &'static str,
+    micros: Histogram<u64>,
+}
+
+fn main() -> Result<()> {
+    let matches = Command::new("overhead")
+        .about("What the path adds to a task's response time at low load")
+        .arg(flag("rounds", "COUNT", "Calls of each way").default_value("2000"))
+        .get_matches();
+    let rounds = read_within(&matches, "rounds", 10, 1_000_000)?;
+    logs::start(logs::Format::Text, "warn");
+    let shape = |data_centre: &str| Shape {
+        data_centre: data_centre.to_owned(),
+        slots: SLOTS,
+        speed: 1.0,
+    };
+    let local = local::start(&ENTRIES, &[shape("north"), shape("south")], 0.0)?;
+    let mut ways = [
+        new_way("direct")?,
+        new_way("one hop")?,
+        new_way("forward hop")?,
+    ];
+    for _round in 0..rounds {
+        record(&mut ways[0], || direct(&local))?;
+        let (own, other) = (id_for(0), id_for(1));
+        record(&mut ways[1], || submit(&local, &own))?;
+        record(&mut ways[2], || submit(&local, &other))?;
+    }
+    print(&ways);
+    Ok(())
+}
+
+fn new_way(name: &'static str) -> Result<Way> {
+    Ok(Way {
+        name,
+        micros: Histogram::new(3)?,
+    })
+}
+
+fn record<F>(way: &mut Way, call: F) -> Result<()>
+where
+    F: FnOnce() -> Result<()>,
+{
+    let begun = Instant::now();
+    call()?;
+    way.micros.record(begun.elapsed().as_micros() as u64)?;
+    Ok(())
+}
+
+fn direct(local: &Local) -> Result<()> {
+    let url = format!("{}/tasks/{}/0", local.backends[0].url(), caller::new_id());
+    let response = attohttpc::post(url).bytes(b"{}".to_vec()).send()?;
+    ensure!(
+        response.is_success(),
+        "the backend server answered {}",
+        response.status()
+    );
+    response.bytes()?;
+    Ok(())
+}
+
+fn submit(local: &Local, id: &Id) -> Result<()> {
+    let entry = format!("http://{}", local.entries[0].address);
+    let answer = caller::submit(&entry, id, ECHO, &[json!({})], TIMEOUT)?;
+    ensure!(
+        answer.status == 200,
+        "the entry answered {} {}",
+        answer.status,
+        answer.detail
+    );
+    Ok(())
+}
+
+/// Draws an id that the entry of the number coordinates.
+fn id_for(number: usize) -> Id {
+    let members: Vec<Member> = (0..ENTRIES.len())
+        .map(|number| Member {
+            name: format!("entry-{number}"),
+            incarnation: 0,
+            address: String::new(),
+            data_centre: String::new(),
+        })
+        .collect();
+    loop {
+        let id = caller::new_id();
+        let coordinator = rendezvous::coordinator(&members, &id);
+        if coordinator.is_some_and(|member| member.name == members[number].name) {
+            return id;
+        }
+    }
+}
+
+fn print(ways: &[Way]) {
+    let at = |way: &Way, quantile: f64| way.micros.value_at_quantile(quantile) as f64 / 1_000.0;
+    println!(
+        "{:12} {:>9} {:>9} {:>14} {:>14}",
+        "way", "p50 ms", "p99 ms", "added p50 ms", "added p99 ms"
+    );
+    for way in ways {
+        let (p50, p99) = (at(way, 0.5), at(way, 0.99));
+        let (d50, d99) = (p50 - at(&ways[0], 0.5), p99 - at(&ways[0], 0.99));
+        println!("{:12} {p50:9.3} {p99:9.3} {d50:14.3} {d99:14.3}", way.name);
+    }
+}
