fix(agent): never start twice, never cut an answer, keep outcomes until acknowledged

Causes, each with a test that produces it: - a redirect of the backend server was followed and sent the task twice - an answer that broke off before its Content-Length counted as whole - a renewed announcement undid a planned stop - a stopping agent left before the entries had its outcomes - a running task's record could expire with the window - a retried attempt of an ended task was answered under an old number and ignored Changes: the queue is a linked list in an arena with an index by task, the ledger is bounded and drops acknowledged outputs first, entries acknowledge outcomes by a count in their orders, announcements lapse, a start is called off when its permit expired or no connection opened.

--- a/crates/agent/src/announce.rs
+++ b/crates/agent/src/announce.rs
@@ -39,7 +39,8 @@
             .clone()
     }
 
-    fn set(&self, address: String) {
+    /// Sets the address.
+    pub fn set(&self, address: String) {
         *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Some(address);
     }
 }
--- a/crates/agent/src/decider.rs
+++ b/crates/agent/src/decider.rs
@@ -36,17 +36,19 @@
         let mut next_tick = self.clock.mono();
         let mut stopping = false;
         loop {
-            let rest = next_tick.since(self.clock.mono());
-            let event = match events.recv_timeout(rest) {
-                Ok(event) => event,
-                Err(RecvTimeoutError::Timeout) => {
-                    next_tick = self.clock.mono().plus(TICK);
-                    Event::Tick
+            let now = self.clock.mono();
+            if next_tick <= now {
+                next_tick = now.plus(TICK);
+                self.step(Event::Tick);
+            }
+            match events.recv_timeout(next_tick.since(now)) {
+                Ok(event) => {
+                    stopping |= matches!(event, Event::Stop);
+                    self.step(event);
                 }
+                Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
-            };
-            stopping |= matches!(event, Event::Stop);
-            self.step(event);
+            }
             if stopping && self.agent.is_drained() {
                 return;
             }
@@ -63,6 +65,9 @@
         for action in actions {
             self.carry_out(action);
         }
+        let ledger = self.agent.ledger();
+        self.metrics.records.set(ledger.len() as f64);
+        self.metrics.output_bytes.set(ledger.output_bytes() as f64);
     }
 
     fn carry_out(&self, action: Action) {
@@ -78,6 +83,7 @@
                 kind,
                 input,
                 timeout_ms,
+                expires,
             } => {
                 let timeout = Duration::from_millis(timeout_ms);
                 let _ended = self.starts.send(Start {
@@ -85,6 +91,7 @@
                     kind,
                     input,
                     timeout,
+                    expires,
                 });
             }
             Action::Attach { entries } => self.links.attach(entries),
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters of an agent, in the text form of Prometheus.
 
 use ibisspool_core::frame::{End, NotStarted};
-use prometheus::{Encoder, IntCounter, IntCounterVec, Opts, Registry, TextEncoder};
+use prometheus::{Encoder, Gauge, IntCounter, IntCounterVec, Opts, Registry, TextEncoder};
 use strum::IntoEnumIterator;
 
 /// All metrics of one agent.
@@ -20,6 +20,10 @@
     pub malformed: IntCounter,
     /// Answers of the backend server that belong to another task.
     pub crossed: IntCounter,
+    /// Tasks in the ledger.
+    pub records: Gauge,
+    /// Bytes of outputs in the ledger.
+    pub output_bytes: Gauge,
 }
 
 impl Metrics {
@@ -36,6 +40,13 @@
                 .expect("the name is unique");
             counter
         };
+        let gauge = |name: &str, help: &str| {
+            let gauge = Gauge::new(name, help).expect("the name is valid");
+            registry
+                .register(Box::new(gauge.clone()))
+                .expect("the name is unique");
+            gauge
+        };
         let family = |name: &str, help: &str, label: &str| {
             let family =
                 IntCounterVec::new(Opts::new(name, help), &[label]).expect("the name is valid");
@@ -64,6 +75,11 @@
                 "ibisspool_agent_crossed_total",
                 "Answers that belong to another task",
             ),
+            records: gauge("ibisspool_agent_records", "Tasks in the ledger"),
+            output_bytes: gauge(
+                "ibisspool_agent_output_bytes",
+                "Bytes of outputs in the ledger",
+            ),
             registry: registry.clone(),
         };
         for reason in NotStarted::iter() {
--- a/crates/agent/src/runner.rs
+++ b/crates/agent/src/runner.rs
@@ -5,11 +5,14 @@
 use bytes::Bytes;
 use crossbeam::channel::{Receiver, Sender};
 use ibisspool_core::agent::Event;
-use ibisspool_core::frame::End;
+use ibisspool_core::frame::{End, NotStarted};
 use ibisspool_core::job::Task;
+use ibisspool_core::time::Mono;
+use ibisspool_kernel::clock::Clock;
 use ibisspool_kernel::part::{Kernel, Name};
 
 use crate::announce::Target;
+use crate::call::{self, Call, Error};
 use crate::metrics::Metrics;
 
 /// Time within which the backend server must take a connection.
@@ -26,34 +29,41 @@
     pub input: Bytes,
     /// Time within which the backend server must answer.
     pub timeout: Duration,
+    /// When the permit expires.
+    pub expires: Mono,
+}
+
+/// What a runner thread needs.
+#[derive(Debug, Clone)]
+pub struct Context {
+    /// Tasks to start.
+    pub starts: Receiver<Start>,
+    /// Mailbox of the decider.
+    pub events: Sender<Event>,
+    /// Address of the backend server.
+    pub target: Target,
+    /// The clock of the permits.
+    pub clock: Clock,
+    /// Metrics of the agent.
+    pub metrics: Metrics,
+    /// Most bytes of an answer.
+    pub answer_bytes: usize,
 }
 
 /// The runner threads; more are started when more slots are announced.
 #[derive(Debug)]
 pub struct Runner {
     kernel: Kernel,
-    starts: Receiver<Start>,
-    events: Sender<Event>,
-    target: Target,
-    metrics: Metrics,
+    context: Context,
     threads: u32,
 }
 
 impl Runner {
     /// Makes a runner without threads.
-    pub fn new(
-        kernel: &Kernel,
-        starts: Receiver<Start>,
-        events: Sender<Event>,
-        target: Target,
-        metrics: Metrics,
-    ) -> Self {
+    pub fn new(kernel: &Kernel, context: Context) -> Self {
         Self {
             kernel: kernel.clone(),
-            starts,
-            events,
-            target,
-            metrics,
+            context,
             threads: 0,
         }
     }
@@ -62,55 +72,63 @@
     pub fn grow(&mut self, slots: u32) {
         while self.threads < slots {
             self.threads += 1;
-            let (starts, events) = (self.starts.clone(), self.events.clone());
-            let (target, metrics) = (self.target.clone(), self.metrics.clone());
-            self.kernel.spawn(Name::Runner, move || {
-                while let Ok(start) = starts.recv() {
-                    let end = run(&start, &target, &metrics);
-                    let _ended = events.send(Event::Ended {
-                        task: start.task,
-                        end,
-                    });
-                }
-            });
+            let context = self.context.clone();
+            self.kernel.spawn(Name::Runner, move || context.run_all());
         }
     }
 }
 
-fn run(start: &Start, target: &Target, metrics: &Metrics) -> End {
-    metrics.starts.inc();
-    let Some(address) = target.get() else {
-        return End::Failed("no backend server has announced itself".to_owned());
-    };
-    let Task { job, index } = start.task;
-    let sent = attohttpc::post(format!("{address}/tasks/{job}/{index}"))
-        .connect_timeout(CONNECT_TIMEOUT)
-        .timeout(start.timeout)
-        .header("Ibisspool-Kind", &start.kind)
-        .header("Content-Type", "application/json")
-        .bytes(start.input.as_ref())
-        .send();
-    let response = match sent {
-        Ok(response) => response,
-        Err(error) => return End::Unknown(format!("no answer of the backend server: {error}")),
-    };
-    let echoed = |name: &str| {
-        response
-            .headers()
-            .get(name)
-            .and_then(|value| value.to_str().ok())
-            .map(str::to_owned)
-    };
-    let mine = echoed("Ibisspool-Job") == Some(job.to_string())
-        && echoed("Ibisspool-Index") == Some(index.to_string());
-    if !mine {
-        metrics.crossed.inc();
-        return End::Unknown("the backend server answered another task".to_owned());
+impl Context {
+    fn run_all(&self) {
+        while let Ok(start) = self.starts.recv() {
+            let end = self.run(&start);
+            if !matches!(end, End::NotStarted(_)) {
+                self.metrics.starts.inc();
+            }
+            let _ended = self.events.send(Event::Ended {
+                task: start.task,
+                end,
+            });
+        }
     }
-    let status = response.status();
-    match response.bytes() {
-        Ok(body) if status.is_success() => End::Done(Bytes::from(body)),
-        Ok(body) => End::Failed(format!("{status} {}", String::from_utf8_lossy(&body))),
-        Err(error) => End::Unknown(format!("the backend server's answer broke off: {error}")),
+
+    fn run(&self, start: &Start) -> End {
+        let rest = start.expires.since(self.clock.mono());
+        let Some(address) = self.target.get() else {
+            return End::NotStarted(NotStarted::Leaving);
+        };
+        if rest.is_zero() {
+            return End::NotStarted(NotStarted::Stale);
+        }
+        let called = call::send(&Call {
+            address: &address,
+            start,
+            connect_timeout: CONNECT_TIMEOUT.min(rest),
+            answer_bytes: self.answer_bytes,
+        });
+        self.end(start, called)
+    }
+
+    fn end(&self, start: &Start, called: Result<call::Answer, Error>) -> End {
+        match called {
+            Ok(answer) if answer.is_success() => End::Done(answer.body),
+            Ok(answer) => End::Failed(answer.describe()),
+            Err(Error::NotConnected(error)) => {
+                let reason = if start.expires <= self.clock.mono() {
+                    NotStarted::Stale
+                } else {
+                    log::warn!("runner: The backend server takes no connection: {error}.");
+                    NotStarted::Leaving
+                };
+                End::NotStarted(reason)
+            }
+            Err(error @ Error::TooLong(_)) => End::Failed(error.to_string()),
+            Err(error) => {
+                if matches!(error, Error::Crossed) {
+                    self.metrics.crossed.inc();
+                }
+                End::Unknown(error.to_string())
+            }
+        }
     }
 }
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -16,7 +16,7 @@
 use crate::decider::Decider;
 use crate::links::Links;
 use crate::metrics::Metrics;
-use crate::runner::{Runner, Start};
+use crate::runner::{self, Runner, Start};
 use crate::settings::Settings;
 
 /// Time for the last reports to leave after the agent is drained.
@@ -90,22 +90,26 @@
     let links = Links::new(handle, events.clone(), metrics.clone(), &settings.entries);
     links.attach(Vec::new());
 
+    let runner = runner::Context {
+        starts,
+        events: events.clone(),
+        target: target.clone(),
+        clock,
+        metrics: metrics.clone(),
+        answer_bytes: settings.answer_bytes,
+    };
     let decider = Decider {
         agent: Agent::new(
             &settings.name,
             &settings.data_centre,
             incarnation,
             settings.timing,
-        ),
+        )
+        .with_bounds(settings.bounds)
+        .with_announcement_timeout(settings.announcement_timeout),
         clock,
         links,
-        runner: Runner::new(
-            &kernel,
-            starts,
-            events.clone(),
-            target.clone(),
-            metrics.clone(),
-        ),
+        runner: Runner::new(&kernel, runner),
         starts: kernel.find(Name::Runner)?,
         metrics: metrics.clone(),
     };
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -1,8 +1,10 @@
 //! Settings of an agent with their defaults.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use clap::{ArgMatches, Command};
+use ibisspool_core::agent::Bounds;
 use ibisspool_core::settings::Timing;
 use ibisspool_kernel::log::Format;
 use ibisspool_kernel::settings::{Error, flag, read, read_name, read_within};
@@ -26,6 +28,12 @@
     pub log_level: String,
     /// Most slots that a backend server may announce.
     pub max_slots: u32,
+    /// Time within which the backend server must renew its announcement.
+    pub announcement_timeout: Duration,
+    /// Most bytes of the backend server's answer to one task.
+    pub answer_bytes: usize,
+    /// Bounds on the ledger of starts.
+    pub bounds: Bounds,
     /// Shared durations.
     pub timing: Timing,
 }
@@ -41,6 +49,9 @@
             log_format: Format::Text,
             log_level: "info".to_owned(),
             max_slots: 256,
+            announcement_timeout: Duration::from_secs(3),
+            answer_bytes: 1 << 20,
+            bounds: Bounds::default(),
             timing: Timing::default(),
         }
     }
@@ -87,6 +98,38 @@
                 )
                 .default_value(d.max_slots.to_string()),
             )
+            .arg(
+                flag(
+                    "announcement-timeout-ms",
+                    "MS",
+                    "A backend server that is silent for longer counts as leaving",
+                )
+                .default_value(d.announcement_timeout.as_millis().to_string()),
+            )
+            .arg(
+                flag(
+                    "max-answer-bytes",
+                    "BYTES",
+                    "Bytes of the backend server's answer to one task",
+                )
+                .default_value(d.answer_bytes.to_string()),
+            )
+            .arg(
+                flag(
+                    "max-records",
+                    "COUNT",
+                    "Tasks remembered; beyond it new ones are refused",
+                )
+                .default_value(d.bounds.records.to_string()),
+            )
+            .arg(
+                flag(
+                    "max-output-bytes",
+                    "BYTES",
+                    "Outputs held; beyond it those that an entry has received are dropped",
+                )
+                .default_value(d.bounds.output_bytes.to_string()),
+            )
             .arg(
                 flag(
                     "window-ms",
@@ -122,7 +165,13 @@
         settings.log_level = read(matches, "log-level", "any text")?;
         settings.max_slots = read_within(matches, "max-slots", 1, 4_096)? as u32;
         let window = read_within(matches, "window-ms", 10_000, MILLIS_PER_DAY)?;
-        settings.timing.window = std::time::Duration::from_millis(window);
+        settings.timing.window = Duration::from_millis(window);
+        let timeout = read_within(matches, "announcement-timeout-ms", 100, MILLIS_PER_DAY)?;
+        settings.announcement_timeout = Duration::from_millis(timeout);
+        let count = |name: &str| read_within(matches, name, 1, 1 << 40).map(|n| n as usize);
+        settings.answer_bytes = count("max-answer-bytes")?;
+        settings.bounds.records = count("max-records")?;
+        settings.bounds.output_bytes = count("max-output-bytes")?;
         Ok(settings)
     }
 }
--- /dev/null
+++ b/crates/agent/tests/runner.rs
@@ -0,0 +1,211 @@
+//! A runner thread sends a task at most once, says truly whether it did, and is never stuck.
+
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use crossbeam::channel::{Receiver, Sender, unbounded};
+use ibisspool_agent::announce::Target;
+use ibisspool_agent::metrics::Metrics;
+use ibisspool_agent::runner::{Context, Runner, Start};
+use ibisspool_core::agent::Event;
+use ibisspool_core::frame::{End, NotStarted};
+use ibisspool_core::job::{Id, Task};
+use ibisspool_core::time::{Mono, Wall};
+use ibisspool_kernel::clock::Clock;
+use ibisspool_kernel::part::Kernel;
+
+const TIMEOUT: Duration = Duration::from_millis(300);
+const PATIENCE: Duration = Duration::from_secs(20);
+const ANSWER_BYTES: usize = 16;
+const NEVER: Mono = Mono(u64::MAX);
+
+struct Bench {
+    starts: Sender<Start>,
+    events: Receiver<Event>,
+}
+
+/// One runner thread for the backend server at an address.
+fn bench(address: String) -> Bench {
+    let (starts, to_run) = unbounded();
+    let (ended, events) = unbounded();
+    let target = Target::default();
+    target.set(address);
+    let context = Context {
+        starts: to_run,
+        events: ended,
+        target,
+        clock: Clock::new(),
+        metrics: Metrics::new(),
+        answer_bytes: ANSWER_BYTES,
+    };
+    Runner::new(&Kernel::new(), context).grow(1);
+    Bench { starts, events }
+}
+
+impl Bench {
+    fn run(&self, expires: Mono) -> End {
+        let start = Start {
+            task: task(),
+            kind: "echo".to_owned(),
+            input: Bytes::from_static(b"{}"),
+            timeout: TIMEOUT,
+            expires,
+        };
+        self.starts.send(start).expect("the runner lives");
+        match self.events.recv_timeout(PATIENCE) {
+            Ok(Event::Ended { end, .. }) => end,
+            other => panic!("the runner is stuck: {other:?}"),
+        }
+    }
+}
+
+fn task() -> Task {
+    let job = Id::new(Wall(1_000), [9; 10]);
+    Task { job, index: 3 }
+}
+
+/// A backend server that reads each request and passes the connection to `serve`; tells of each
+/// connection.
+fn backend<F>(serve: F) -> (String, Receiver<()>)
+where
+    F: Fn(TcpStream) + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = format!("http://{}", listener.local_addr().expect("it is bound"));
+    let (seen, connections) = unbounded();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let _counted = seen.send(());
+            let _request = stream.read(&mut [0; 4_096]);
+            serve(stream);
+        }
+    });
+    (address, connections)
+}
+
+fn answer(status: &str, job: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\nIbisspool-Job: {job}\r\nIbisspool-Index: 3\r\nLocation: /elsewhere\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+fn answering(status: &'static str, body: &'static str) -> (String, Receiver<()>) {
+    backend(move |mut stream| {
+        let text = answer(status, &task().job.to_string(), body);
+        let _gone = stream.write_all(text.as_bytes());
+    })
+}
+
+#[test]
+fn an_answer_to_the_task_is_its_output() {
+    let (address, _connections) = answering("200 OK", "output");
+
+    let end = bench(address).run(NEVER);
+
+    assert_eq!(end, End::Done(Bytes::from_static(b"output")));
+}
+
+#[test]
+fn an_expired_permit_opens_no_connection() {
+    let (address, connections) = answering("200 OK", "output");
+
+    let end = bench(address).run(Mono(0));
+
+    assert_eq!(end, End::NotStarted(NotStarted::Stale));
+    assert!(connections.is_empty());
+}
+
+#[test]
+fn a_server_that_takes_no_connection_has_started_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = format!("http://{}", listener.local_addr().expect("it is bound"));
+    drop(listener);
+
+    let end = bench(address).run(NEVER);
+
+    assert_eq!(end, End::NotStarted(NotStarted::Leaving));
+}
+
+#[test]
+fn a_redirect_is_not_followed() {
+    let (address, connections) = answering("307 Temporary Redirect", "");
+
+    let end = bench(address).run(NEVER);
+
+    assert!(matches!(end, End::Failed(_)), "{end:?}");
+    assert_eq!(connections.len(), 1);
+}
+
+#[test]
+fn a_server_that_hangs_frees_the_thread_after_the_timeout() {
+    let (address, connections) = backend(|stream| {
+        thread::spawn(move || {
+            thread::sleep(PATIENCE);
+            drop(stream);
+        });
+    });
+    let bench = bench(address);
+
+    let ends = [bench.run(NEVER), bench.run(NEVER)];
+
+    assert!(
+        ends.iter().all(|end| matches!(end, End::Unknown(_))),
+        "{ends:?}"
+    );
+    assert_eq!(connections.len(), 2);
+}
+
+#[test]
+fn a_server_that_trickles_frees_the_thread_after_the_timeout() {
+    let (address, _connections) = backend(|mut stream| {
+        thread::spawn(move || {
+            while stream.write_all(b"H").is_ok() {
+                thread::sleep(TIMEOUT / 10);
+            }
+        });
+    });
+
+    let end = bench(address).run(NEVER);
+
+    assert!(matches!(end, End::Unknown(_)), "{end:?}");
+}
+
+#[test]
+fn an_answer_that_is_another_tasks_or_not_whole_is_unknown() {
+    let own = answer("200 OK", &task().job.to_string(), "output");
+    let texts = [
+        answer("200 OK", "another", "output"),
+        own[..own.len() - 1].to_owned(),
+        own.replace("Content-Length: 6\r\n", ""),
+        own.replace("Content-Length: 6", "Transfer-Encoding: chunked")
+            .replace("output", "6\r\noutput\r\n"),
+        own.replace("Content-Length: 6", "Transfer-Encoding: chunked")
+            .replace("output", "6\r\nout"),
+    ];
+
+    let ends = texts.map(|text| {
+        let (address, _connections) = backend(move |mut stream| {
+            let _gone = stream.write_all(text.as_bytes());
+        });
+        bench(address).run(NEVER)
+    });
+
+    assert!(
+        ends.iter().all(|end| matches!(end, End::Unknown(_))),
+        "{ends:?}"
+    );
+}
+
+#[test]
+fn an_answer_over_the_limit_fails_the_task() {
+    let (address, _connections) = answering("200 OK", "seventeen letters");
+
+    let end = bench(address).run(NEVER);
+
+    assert!(matches!(end, End::Failed(_)), "{end:?}");
+}
--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -5,23 +5,32 @@
 //! old, that the entry echoed.
 
 mod ledger;
+mod link;
+mod orders;
+mod queue;
+mod run;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::Duration;
 
 use bytes::Bytes;
 
-use crate::frame::{Attempt, Dispatch, End, Hello, Load, NotStarted, Order, Outcome, Report};
+use crate::frame::{End, Hello, Load, NotStarted, Order, Outcome, Report};
 use crate::job::Task;
 use crate::settings::Timing;
 use crate::time::{Mono, Now};
 
-pub use ledger::{Ledger, Record};
+pub use ledger::{Bounds, Ledger, Record};
+pub use queue::{Queue, Waiting};
+
+use link::Link;
+use run::Running;
 
 /// Tasks that wait beyond the slots, as a multiple of the slots.
 const QUEUE_PER_SLOT: usize = 4;
 
 /// Reports of a busy connection are sent this long after its last order.
-const BUSY: std::time::Duration = std::time::Duration::from_secs(2);
+const BUSY: Duration = Duration::from_secs(2);
 
 /// Something that happened.
 #[derive(Debug, Clone)]
@@ -52,7 +61,8 @@
     },
     /// The backend server is leaving.
     Left,
-    /// A task that was started ended.
+    /// A task that was started ended, or was called off before anything was sent to the backend
+    /// server: as stale if its permit had expired, as leaving if the server was not reached.
     Ended {
         /// The task.
         task: Task,
@@ -85,6 +95,8 @@
         input: Bytes,
         /// Time within which the backend server must answer, in milliseconds.
         timeout_ms: u64,
+        /// When the permit expires. Nothing may be sent to the backend server after it.
+        expires: Mono,
     },
     /// Keep connections to these entries.
     Attach {
@@ -95,30 +107,6 @@
     ForeignOrder,
 }
 
-#[derive(Debug, Clone)]
-struct Link {
-    permit: Option<Mono>,
-    told: bool,
-    next_report: Mono,
-    busy_until: Mono,
-    outcomes: Vec<Outcome>,
-}
-
-#[derive(Debug, Clone)]
-struct Waiting {
-    link: u64,
-    dispatch: Dispatch,
-    since: Mono,
-}
-
-#[derive(Debug, Clone)]
-struct Running {
-    link: u64,
-    attempt: u32,
-    queue_us: u64,
-    since: Mono,
-}
-
 /// State of an agent.
 #[derive(Debug, Clone)]
 pub struct Agent {
@@ -127,9 +115,16 @@
     timing: Timing,
     epoch: u64,
     links: BTreeMap<u64, Link>,
-    queue: VecDeque<Waiting>,
-    running: BTreeMap<Task, Running>,
+    queue: Queue,
+    running: HashMap<Task, Running>,
     ledger: Ledger,
+    /// Tasks whose outcomes no entry has acknowledged and that no open connection carries.
+    undelivered: HashSet<Task>,
+    announcement: Option<Duration>,
+    renewed: Mono,
+    stopping: bool,
+    idle_since: Option<Mono>,
+    waited: bool,
 }
 
 impl Agent {
@@ -148,24 +143,48 @@
             timing,
             epoch: 0,
             links: BTreeMap::new(),
-            queue: VecDeque::new(),
-            running: BTreeMap::new(),
+            queue: Queue::new(),
+            running: HashMap::new(),
             ledger: Ledger::new(),
+            undelivered: HashSet::new(),
+            announcement: None,
+            renewed: Mono(0),
+            stopping: false,
+            idle_since: None,
+            waited: false,
         }
     }
 
+    /// Replaces the bounds of the ledger.
+    #[must_use]
+    pub fn with_bounds(mut self, bounds: Bounds) -> Self {
+        self.ledger = Ledger::new().with_bounds(bounds);
+        self
+    }
+
+    /// Lets an announcement of the backend server lapse unless it is renewed within `timeout`.
+    #[must_use]
+    pub fn with_announcement_timeout(mut self, timeout: Duration) -> Self {
+        self.announcement = Some(timeout);
+        self
+    }
+
     /// Decides on one event.
     pub fn handle(&mut self, event: Event, now: Now, actions: &mut Vec<Action>) {
         match event {
-            Event::Attached { link } => self.attached(link, now),
-            Event::Detached { link } => {
-                self.links.remove(&link);
+            Event::Attached { link } => {
+                self.links.insert(link, Link::new(now.mono));
             }
+            Event::Detached { link } => self.detached(link),
             Event::Ordered { link, order } => self.ordered(link, order, now, actions),
-            Event::Announced { slots, kinds } => self.announced(slots, kinds),
-            Event::Left | Event::Stop => self.leave(now),
+            Event::Announced { slots, kinds } => self.announced(slots, kinds, now),
+            Event::Left => self.leave(now),
+            Event::Stop => {
+                self.stopping = true;
+                self.leave(now);
+            }
             Event::Ended { task, end } => self.ended(task, end, now),
-            Event::Tick => self.ledger.expire(now.mono, self.timing.window),
+            Event::Tick => self.tick(now),
         }
         self.start_ready(now, actions);
         self.report(now, actions);
@@ -179,257 +198,86 @@
         }
     }
 
-    /// Returns whether nothing runs or waits and every outcome was reported.
-    pub fn is_drained(&self) -> bool {
-        self.hello.leaving
-            && self.running.is_empty()
-            && self.queue.is_empty()
-            && self.links.values().all(|link| link.outcomes.is_empty())
+    /// Returns the ledger of starts.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
     }
 
-    fn attached(&mut self, link: u64, now: Now) {
-        let state = Link {
-            permit: None,
-            told: false,
-            next_report: now.mono,
-            busy_until: now.mono,
-            outcomes: Vec::new(),
-        };
-        self.links.insert(link, state);
-    }
-
-    fn announced(&mut self, slots: u32, kinds: Vec<String>) {
-        if self.hello.slots == slots && self.hello.kinds == kinds && !self.hello.leaving {
-            return;
-        }
-        self.hello.slots = slots;
-        self.hello.kinds = kinds;
-        self.hello.leaving = false;
-        self.tell_all();
+    /// Returns whether nothing runs or waits and the entries have acknowledged every outcome, or
+    /// have had the time after which they give the agent up.
+    pub fn is_drained(&self) -> bool {
+        self.hello.leaving && self.is_idle() && (self.waited || self.is_settled())
     }
 
-    fn leave(&mut self, now: Now) {
-        self.hello.leaving = true;
-        self.tell_all();
-        while let Some(waiting) = self.queue.pop_front() {
-            self.decline(&waiting, NotStarted::Leaving, now);
-        }
+    fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.queue.is_empty()
     }
 
-    fn tell_all(&mut self) {
-        for link in self.links.values_mut() {
-            link.told = false;
-        }
-    }
-
-    fn ordered(&mut self, link: u64, order: Order, now: Now, actions: &mut Vec<Action>) {
-        if !order.entries.is_empty() {
-            actions.push(Action::Attach {
-                entries: order.entries,
-            });
-        }
-        if order.agent_incarnation != self.incarnation {
-            self.tell_all();
-            return actions.push(Action::ForeignOrder);
-        }
-        let old_epoch = order.epoch < self.epoch;
-        self.epoch = self.epoch.max(order.epoch);
-        if let Some(state) = self.links.get_mut(&link) {
-            if !old_epoch {
-                state.permit = state.permit.max(order.permit);
-            }
-            state.busy_until = now.mono.plus(BUSY);
-            state.next_report = state.next_report.min(now.mono.plus(self.timing.report));
-        }
-        for task in order.recalls {
-            self.recall(task, now);
-        }
-        for query in order.queries {
-            self.query(link, query, now);
-        }
-        for dispatch in order.dispatches {
-            self.take(
-                Waiting {
-                    link,
-                    dispatch,
-                    since: now.mono,
-                },
-                old_epoch,
-                now,
-            );
-        }
+    fn is_settled(&self) -> bool {
+        self.undelivered.is_empty() && self.links.values().all(Link::is_settled)
     }
 
-    /// Queues a dispatch, answers it from the ledger, or refuses it.
-    fn take(&mut self, waiting: Waiting, old_epoch: bool, now: Now) {
-        let Dispatch { task, attempt, .. } = waiting.dispatch;
-        match self.ledger.record(&task) {
-            Some(Record::Started) => return,
-            Some(Record::Ended { outcome }) => {
-                let outcome = outcome.clone();
-                return self.tell(waiting.link, outcome);
-            }
-            Some(Record::Declined {
-                attempt: last,
-                reason,
-            }) if attempt <= *last => {
-                let reason = *reason;
-                return self.decline(&waiting, reason, now);
-            }
-            Some(Record::Declined { .. }) | None => {}
+    fn tick(&mut self, now: Now) {
+        let undelivered = &mut self.undelivered;
+        self.ledger.expire(now.mono, self.timing.window, |task| {
+            undelivered.remove(task);
+        });
+        let lapsed = self
+            .announcement
+            .is_some_and(|timeout| now.mono.since(self.renewed) > timeout);
+        if lapsed && self.hello.slots > 0 && !self.hello.leaving {
+            self.leave(now);
         }
-        if self.queue.iter().any(|other| other.dispatch.task == task) {
+        if !(self.hello.leaving && self.is_idle()) {
+            self.idle_since = None;
+            self.waited = false;
             return;
         }
-        if old_epoch {
-            return self.decline(&waiting, NotStarted::OldEpoch, now);
-        }
-        if self.hello.leaving {
-            return self.decline(&waiting, NotStarted::Leaving, now);
-        }
-        if self.queue.len() >= self.hello.slots as usize * QUEUE_PER_SLOT {
-            return self.decline(&waiting, NotStarted::Full, now);
-        }
-        self.queue.push_back(waiting);
-    }
-
-    fn decline(&mut self, waiting: &Waiting, reason: NotStarted, now: Now) {
-        let Dispatch { task, attempt, .. } = waiting.dispatch;
-        self.ledger.decline(task, attempt, reason, now.mono);
-        let queue_us = now.mono.since(waiting.since).as_micros() as u64;
-        let end = End::NotStarted(reason);
-        self.tell(
-            waiting.link,
-            Outcome {
-                task,
-                attempt,
-                end,
-                queue_us,
-                run_us: 0,
-            },
-        );
+        let since = *self.idle_since.get_or_insert(now.mono);
+        self.waited = now.mono.since(since) > self.timing.agent_silence;
     }
 
-    fn recall(&mut self, task: Task, now: Now) {
-        let at = self
-            .queue
-            .iter()
-            .position(|waiting| waiting.dispatch.task == task);
-        if let Some(waiting) = at.and_then(|at| self.queue.remove(at)) {
-            self.decline(&waiting, NotStarted::Recalled, now);
+    fn detached(&mut self, link: u64) {
+        if let Some(state) = self.links.remove(&link) {
+            self.undelivered.extend(state.into_unsettled());
         }
     }
 
-    /// Tells what became of an attempt, or promises that it never starts.
-    fn query(&mut self, link: u64, query: Attempt, now: Now) {
-        let Attempt { task, attempt } = query;
-        if let Some(waiting) = self
-            .queue
-            .iter_mut()
-            .find(|waiting| waiting.dispatch.task == task)
-        {
-            waiting.link = link;
-            return;
-        }
-        if let Some(running) = self.running.get_mut(&task) {
-            running.link = link;
-            return;
-        }
-        if let Some(Record::Ended { outcome }) = self.ledger.record(&task) {
-            let outcome = outcome.clone();
-            return self.tell(link, outcome);
+    fn announced(&mut self, slots: u32, kinds: Vec<String>, now: Now) {
+        self.renewed = now.mono;
+        let hello = Hello {
+            slots,
+            kinds,
+            leaving: self.stopping,
+            ..self.hello.clone()
+        };
+        if hello != self.hello {
+            self.hello = hello;
+            self.tell_all();
         }
-        self.ledger
-            .decline(task, attempt, NotStarted::Tombstoned, now.mono);
-        let end = End::NotStarted(NotStarted::Tombstoned);
-        self.tell(
-            link,
-            Outcome {
-                task,
-                attempt,
-                end,
-                queue_us: 0,
-                run_us: 0,
-            },
-        );
     }
 
-    /// Starts queued tasks while slots are free and their permits are fresh.
-    fn start_ready(&mut self, now: Now, actions: &mut Vec<Action>) {
-        while self.running.len() < self.hello.slots as usize {
-            let Some(waiting) = self.queue.pop_front() else {
-                return;
-            };
-            if !self.is_permitted(waiting.link, now) {
-                self.decline(&waiting, NotStarted::Stale, now);
-                continue;
-            }
-            self.start(waiting, now, actions);
+    /// Gives back what waits; what runs goes on.
+    fn leave(&mut self, now: Now) {
+        self.hello.leaving = true;
+        self.tell_all();
+        while let Some(waiting) = self.queue.pop() {
+            self.decline(&waiting, NotStarted::Leaving, now);
         }
     }
 
-    fn is_permitted(&self, link: u64, now: Now) -> bool {
-        let permit = self.links.get(&link).and_then(|state| state.permit);
-        permit.is_some_and(|permit| now.mono.since(permit) <= self.timing.lease)
-    }
-
-    fn start(&mut self, waiting: Waiting, now: Now, actions: &mut Vec<Action>) {
-        let Waiting {
-            link,
-            dispatch,
-            since,
-        } = waiting;
-        let Dispatch {
-            task,
-            attempt,
-            kind,
-            input,
-            timeout_ms,
-        } = dispatch;
-        self.ledger.start(task, now.mono);
-        let queue_us = now.mono.since(since).as_micros() as u64;
-        self.running.insert(
-            task,
-            Running {
-                link,
-                attempt,
-                queue_us,
-                since: now.mono,
-            },
-        );
-        actions.push(Action::Start {
-            task,
-            kind,
-            input,
-            timeout_ms,
-        });
-    }
-
-    fn ended(&mut self, task: Task, end: End, now: Now) {
-        let Some(running) = self.running.remove(&task) else {
-            return;
-        };
-        let Running {
-            link,
-            attempt,
-            queue_us,
-            since,
-        } = running;
-        let run_us = now.mono.since(since).as_micros() as u64;
-        let outcome = Outcome {
-            task,
-            attempt,
-            end,
-            queue_us,
-            run_us,
-        };
-        self.ledger.end(task, outcome.clone(), now.mono);
-        self.tell(link, outcome);
+    fn tell_all(&mut self) {
+        for link in self.links.values_mut() {
+            link.told = false;
+        }
     }
 
     fn tell(&mut self, link: u64, outcome: Outcome) {
         if let Some(state) = self.links.get_mut(&link) {
+            self.undelivered.remove(&outcome.task);
             state.outcomes.push(outcome);
+        } else {
+            self.undelivered.insert(outcome.task);
         }
     }
 
@@ -453,7 +301,7 @@
                 stamp: now.mono,
                 load,
                 hello,
-                outcomes: std::mem::take(&mut state.outcomes),
+                outcomes: state.take_outcomes(),
             };
             actions.push(Action::Report {
                 link: *link,
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -367,6 +367,7 @@
             Event::Tick => self.tick(now, actions),
         }
         self.dispatch(now, actions);
+        self.acknowledge(actions);
     }
 
     fn tick(&mut self, now: Now, actions: &mut Vec<Action>) {
--- a/crates/core/src/entry/fleet.rs
+++ b/crates/core/src/entry/fleet.rs
@@ -4,6 +4,7 @@
 use crate::frame::{Attempt, End, Order, Outcome, Report};
 use crate::job::Task;
 use crate::placement::{Agent, Key};
+use crate::receipt::Receipt;
 use crate::time::Now;
 
 impl Entry {
@@ -24,6 +25,7 @@
         agent.unreported = 0;
         agent.epoch = agent.epoch.max(report.epoch);
         agent.record_stamp(report.stamp, now.mono);
+        agent.receipt.record(report.outcomes.len(), now.mono);
         for outcome in report.outcomes {
             self.ended(key, outcome, now, actions);
         }
@@ -71,6 +73,7 @@
         }
         agent.link = Some(link);
         agent.heard = now.mono;
+        agent.receipt = Receipt::new();
         self.links.retain(|_link, other| *other != key);
         self.links.insert(link, key);
         let queries = self.attempts_on(key);
@@ -93,6 +96,7 @@
     }
 
     pub(super) fn tick_fleet(&mut self, now: Now, actions: &mut Vec<Action>) {
+        self.send_acknowledgements(now, actions);
         let silence = self.timing.agent_silence;
         let lost: Vec<Key> = self
             .fleet
@@ -106,6 +110,30 @@
         }
     }
 
+    /// Puts acknowledgements of outcomes into the orders that leave.
+    pub(super) fn acknowledge(&mut self, actions: &mut [Action]) {
+        for action in actions {
+            let Action::Order { link, order } = action else {
+                continue;
+            };
+            if let Some(key) = self.links.get(link) {
+                order.acknowledged = self.fleet.agents[*key].receipt.take();
+            }
+        }
+    }
+
+    /// Sends an order to each agent whose acknowledgement no other order took along in time.
+    fn send_acknowledgements(&self, now: Now, actions: &mut Vec<Action>) {
+        for (key, agent) in &self.fleet.agents {
+            if let Some(link) = agent.link
+                && agent.receipt.is_due(agent.hello.leaving, now.mono)
+            {
+                let order = self.order(key);
+                actions.push(Action::Order { link, order });
+            }
+        }
+    }
+
     /// Gives up an agent; what it held has an unknown outcome.
     fn lose(&mut self, key: Key, now: Now, actions: &mut Vec<Action>) {
         for Attempt { task, attempt } in self.attempts_on(key) {
--- a/crates/core/src/frame.rs
+++ b/crates/core/src/frame.rs
@@ -111,6 +111,8 @@
     pub queries: Vec<Attempt>,
     /// Addresses of all entries, when they changed.
     pub entries: Vec<String>,
+    /// Number of outcomes that the entry has received over this connection.
+    pub acknowledged: u64,
 }
 
 /// One attempt, by its number.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod job;
 pub mod lease;
 pub mod placement;
+pub mod receipt;
 pub mod refusal;
 pub mod rendezvous;
 pub mod settings;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -6,6 +6,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::frame::{Hello, Load};
+use crate::receipt::Receipt;
 use crate::time::Mono;
 
 new_key_type! {
@@ -41,6 +42,8 @@
     pub unreported: u32,
     /// Highest epoch that it has seen.
     pub epoch: u64,
+    /// Outcomes received over the present connection.
+    pub receipt: Receipt,
     refused_permit: Option<Mono>,
     last_permit: Option<Mono>,
     run_ms: HashMap<String, f64>,
@@ -59,6 +62,7 @@
             outstanding: 0,
             unreported: 0,
             epoch: 0,
+            receipt: Receipt::new(),
             refused_permit: None,
             last_permit: None,
             run_ms: HashMap::new(),
--- a/crates/wire/src/decode.rs
+++ b/crates/wire/src/decode.rs
@@ -111,6 +111,7 @@
         recalls: recalls?,
         queries: queries?,
         entries: order.entries,
+        acknowledged: order.acknowledged,
     })
 }
 
--- a/crates/wire/src/encode.rs
+++ b/crates/wire/src/encode.rs
@@ -66,6 +66,7 @@
         recalls: order.recalls.iter().map(task).collect(),
         queries: order.queries.iter().map(attempt).collect(),
         entries: order.entries,
+        acknowledged: order.acknowledged,
     }
 }
 
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -79,6 +79,9 @@
     pub queries: ::prost::alloc::vec::Vec<Attempt>,
     #[prost(string, repeated, tag = "7")]
     pub entries: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Number of outcomes received over this stream.
+    #[prost(uint64, tag = "16")]
+    pub acknowledged: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Attempt {
