--- a/crates/core/tests/agent.rs
+++ b/crates/core/tests/agent.rs
@@ -6,6 +6,7 @@
 use ibisspool_core::agent::{Action, Agent, Bounds, Event};
 use ibisspool_core::frame::{Attempt, Dispatch, End, Hello, NotStarted, Order, Outcome, Report};
 use ibisspool_core::job::{Id, Task};
+use ibisspool_core::receipt::Receipt;
 use ibisspool_core::settings::Timing;
 use ibisspool_core::time::{Mono, Now, Wall};
 
@@ -406,14 +407,22 @@
 #[test]
 fn the_ledger_expires_with_the_window_but_for_running_tasks() {
     let mut bench = bench(2, Bounds::default());
-    bench.dispatch(1, task(0), 1);
+    let dispatches = vec![dispatch(task(0), 1)];
+    let without_permit = Order {
+        dispatches,
+        ..blank()
+    };
+    bench.order(1, without_permit);
+    bench.dispatch(1, task(0), 2);
     bench.dispatch(1, task(1), 1);
     bench.end(task(1), done());
 
     bench.pass(Timing::default().window + Duration::from_micros(1));
-    let repeated = bench.dispatch(1, task(0), 1);
+    let remembered = bench.agent.ledger().len();
+    bench.announce(2);
+    let repeated = bench.dispatch(1, task(0), 2);
 
-    assert_eq!(bench.agent.ledger().len(), 1);
+    assert_eq!(remembered, 1);
     assert!(starts(&repeated).is_empty());
 }
 
@@ -489,3 +498,23 @@
     assert!(!early);
     assert!(bench.agent.is_drained());
 }
+
+#[test]
+fn an_acknowledgement_without_an_order_to_carry_it_is_due_soon_or_at_once_for_a_leaving_agent() {
+    let (now, mut receipt) = (Mono(1_000_000), Receipt::new());
+    let idle = receipt.is_due(true, now);
+    receipt.record(2, now);
+    let due = |receipt: &Receipt, leaving, delay| receipt.is_due(leaving, now.plus(delay));
+
+    let early = due(&receipt, false, Duration::from_millis(999));
+    let later = due(&receipt, false, Duration::from_secs(1));
+    let leaving = due(&receipt, true, Duration::ZERO);
+    let received = receipt.take();
+    let carried = due(&receipt, false, Duration::from_secs(9));
+
+    assert_eq!(
+        (idle, early, later, leaving, carried),
+        (false, false, true, true, false)
+    );
+    assert_eq!(received, 2);
+}
--- /dev/null
+++ b/crates/core/tests/agent_random.rs
@@ -0,0 +1,265 @@
+//! Random events, repeated and reordered over connections that come and go: no task starts twice,
+//! and no refusal is taken back.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use bytes::Bytes;
+use ibisspool_core::agent::{Action, Agent, Bounds, Event};
+use ibisspool_core::frame::{Attempt, Dispatch, End, NotStarted, Order, Outcome};
+use ibisspool_core::job::{Id, Task};
+use ibisspool_core::settings::Timing;
+use ibisspool_core::time::{Mono, Now, Wall};
+use proptest::prelude::*;
+
+const CASES: u32 = 2_000;
+const EVENTS: usize = 120;
+const TASKS: u32 = 6;
+const LINKS: u64 = 3;
+const BOUNDS: Bounds = Bounds {
+    records: 16,
+    output_bytes: 20,
+};
+
+/// One step; numbers are taken modulo what there is.
+#[derive(Debug, Clone)]
+enum Step {
+    Dispatch {
+        link: u64,
+        index: u32,
+        attempt: u32,
+        permit_age_ms: u64,
+        epoch: u64,
+    },
+    Query {
+        link: u64,
+        index: u32,
+        attempt: u32,
+    },
+    Recall {
+        link: u64,
+        index: u32,
+    },
+    Acknowledge {
+        link: u64,
+        count: u64,
+    },
+    End {
+        index: u32,
+        called_off: bool,
+    },
+    Attach {
+        link: u64,
+    },
+    Detach {
+        link: u64,
+    },
+    Announce {
+        slots: u32,
+    },
+    Leave,
+    Pass {
+        ms: u64,
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let task = || 0..TASKS;
+    let link = || 0..LINKS;
+    let attempt = || 1..4_u32;
+    prop_oneof![
+        6 => (link(), task(), attempt(), 0..1_500_u64, 4..6_u64).prop_map(
+            |(link, index, attempt, permit_age_ms, epoch)| Step::Dispatch {
+                link, index, attempt, permit_age_ms, epoch,
+            }
+        ),
+        2 => (link(), task(), attempt())
+            .prop_map(|(link, index, attempt)| Step::Query { link, index, attempt }),
+        1 => (link(), task()).prop_map(|(link, index)| Step::Recall { link, index }),
+        1 => (link(), 0..9_u64).prop_map(|(link, count)| Step::Acknowledge { link, count }),
+        3 => (task(), any::<bool>()).prop_map(|(index, called_off)| Step::End { index, called_off }),
+        1 => link().prop_map(|link| Step::Attach { link }),
+        1 => link().prop_map(|link| Step::Detach { link }),
+        1 => (1..3_u32).prop_map(|slots| Step::Announce { slots }),
+        1 => Just(Step::Leave),
+        2 => (0..1_200_u64).prop_map(|ms| Step::Pass { ms }),
+    ]
+}
+
+/// What the world outside the agent has seen.
+#[derive(Default)]
+struct Seen {
+    dispatched: HashMap<Task, u32>,
+    refused: HashMap<Task, u32>,
+    running: HashSet<Task>,
+    ended: HashSet<Task>,
+}
+
+impl Seen {
+    fn check(&mut self, actions: &[Action], now: Mono) {
+        for action in actions {
+            match action {
+                Action::Start { task, expires, .. } => self.check_start(*task, *expires, now),
+                Action::Report { report, .. } => {
+                    report
+                        .outcomes
+                        .iter()
+                        .for_each(|outcome| self.check_outcome(outcome));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn check_start(&mut self, task: Task, expires: Mono, now: Mono) {
+        assert!(self.running.insert(task), "it runs already");
+        assert!(!self.ended.contains(&task), "it ran already");
+        assert!(now <= expires, "the permit has expired");
+        let refused = self.refused.get(&task).copied().unwrap_or(0);
+        assert!(
+            self.dispatched[&task] > refused,
+            "every attempt was refused"
+        );
+    }
+
+    fn check_outcome(&mut self, outcome: &Outcome) {
+        let task = outcome.task;
+        if let End::NotStarted(_) = outcome.end {
+            assert!(!self.running.contains(&task), "it runs");
+            assert!(!self.ended.contains(&task), "it ran");
+            let refused = self.refused.entry(task).or_default();
+            *refused = (*refused).max(outcome.attempt);
+        }
+    }
+}
+
+fn task(index: u32) -> Task {
+    let job = Id::new(Wall(1_000), [9; 10]);
+    Task { job, index }
+}
+
+fn order(epoch: u64) -> Order {
+    Order {
+        agent_incarnation: 1,
+        epoch,
+        ..Order::default()
+    }
+}
+
+fn dispatch(task: Task, attempt: u32) -> Dispatch {
+    Dispatch {
+        task,
+        attempt,
+        kind: "echo".to_owned(),
+        input: Bytes::new(),
+        timeout_ms: 1_000,
+    }
+}
+
+/// Makes the event of a step, `None` if it cannot happen now.
+fn event(step: &Step, seen: &mut Seen, now: &mut Mono) -> Option<Event> {
+    Some(match *step {
+        Step::Dispatch {
+            link,
+            index,
+            attempt,
+            permit_age_ms,
+            epoch,
+        } => {
+            let attempts = seen.dispatched.entry(task(index)).or_default();
+            *attempts = (*attempts).max(attempt);
+            let permit = Some(Mono(now.0 - permit_age_ms * 1_000));
+            let dispatches = vec![dispatch(task(index), attempt)];
+            let order = Order {
+                permit,
+                dispatches,
+                ..order(epoch)
+            };
+            Event::Ordered { link, order }
+        }
+        Step::Query {
+            link,
+            index,
+            attempt,
+        } => {
+            let queries = vec![Attempt {
+                task: task(index),
+                attempt,
+            }];
+            Event::Ordered {
+                link,
+                order: Order {
+                    queries,
+                    ..order(5)
+                },
+            }
+        }
+        Step::Recall { link, index } => {
+            let recalls = vec![task(index)];
+            Event::Ordered {
+                link,
+                order: Order {
+                    recalls,
+                    ..order(5)
+                },
+            }
+        }
+        Step::Acknowledge { link, count } => {
+            let order = Order {
+                acknowledged: count,
+                ..order(5)
+            };
+            Event::Ordered { link, order }
+        }
+        Step::End { index, called_off } => {
+            let task = task(index);
+            seen.running.take(&task)?;
+            if called_off {
+                let end = End::NotStarted(NotStarted::Stale);
+                return Some(Event::Ended { task, end });
+            }
+            seen.ended.insert(task);
+            let end = End::Done(Bytes::from_static(b"output"));
+            Event::Ended { task, end }
+        }
+        Step::Attach { link } => Event::Attached { link },
+        Step::Detach { link } => Event::Detached { link },
+        Step::Announce { slots } => Event::Announced {
+            slots,
+            kinds: vec!["echo".to_owned()],
+        },
+        Step::Leave => Event::Left,
+        Step::Pass { ms } => {
+            *now = now.plus(Duration::from_millis(ms));
+            Event::Tick
+        }
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: CASES,
+        failure_persistence: None,
+        rng_seed: prop::test_runner::RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_task_starts_twice_and_no_refusal_is_taken_back(
+        steps in prop::collection::vec(step(), 1..EVENTS),
+    ) {
+        let mut agent = Agent::new("backend", "north", 1, Timing::default()).with_bounds(BOUNDS);
+        let (mut seen, mut now) = (Seen::default(), Mono(10_000_000));
+        let first = [Step::Announce { slots: 2 }, Step::Attach { link: 0 }, Step::Attach { link: 1 }];
+
+        for step in first.iter().chain(&steps) {
+            if let Some(event) = event(step, &mut seen, &mut now) {
+                let mut actions = Vec::new();
+                agent.handle(event, Now { mono: now, wall: Wall(0) }, &mut actions);
+                seen.check(&actions, now);
+            }
+        }
+
+        prop_assert!(agent.ledger().len() <= BOUNDS.records);
+    }
+}
