--- a/crates/wire/tests/decode.rs
+++ b/crates/wire/tests/decode.rs
@@ -130,10 +130,10 @@
 
     #[test]
     fn no_bytes_make_a_decoder_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
-        let _report = Report::decode(&bytes[..]).map(decode::report);
-        let _order = Order::decode(&bytes[..]).map(decode::order);
-        let _question = Question::decode(&bytes[..]).map(decode::question);
-        let _reply = Reply::decode(&bytes[..]).map(|reply| decode::reply(&asked(), reply));
+        let _report = Report::decode(bytes.as_slice()).map(decode::report);
+        let _order = Order::decode(bytes.as_slice()).map(decode::order);
+        let _question = Question::decode(bytes.as_slice()).map(decode::question);
+        let _reply = Reply::decode(bytes.as_slice()).map(|reply| decode::reply(&asked(), reply));
     }
 
     #[test]
@@ -184,11 +184,11 @@
     }
 }
 
-fn task_of(job: &[u8]) -> Option<Task> {
-    Some(Task {
+fn task_of(job: &[u8]) -> Task {
+    Task {
         job: Bytes::copy_from_slice(job),
         index: 0,
-    })
+    }
 }
 
 #[test]
@@ -199,21 +199,21 @@
     let failed = || Some(outcome::End::Failed(String::new()));
     let cases = [
         (outcome_of(None, failed()), Error::Missing("task")),
-        (outcome_of(task_of(&id), None), Error::Missing("end")),
+        (outcome_of(Some(task_of(&id)), None), Error::Missing("end")),
         (
-            outcome_of(task_of(&id[..15]), failed()),
+            outcome_of(Some(task_of(&id[..15])), failed()),
             Error::Id(IdError::Syntax),
         ),
         (
-            outcome_of(task_of(&other_version), failed()),
+            outcome_of(Some(task_of(&other_version)), failed()),
             Error::Id(IdError::Version),
         ),
         (
-            outcome_of(task_of(&id), Some(outcome::End::NotStarted(0))),
+            outcome_of(Some(task_of(&id)), Some(outcome::End::NotStarted(0))),
             Error::Unknown("not_started"),
         ),
         (
-            outcome_of(task_of(&id), Some(outcome::End::NotStarted(256 + 1))),
+            outcome_of(Some(task_of(&id)), Some(outcome::End::NotStarted(256 + 1))),
             Error::Unknown("not_started"),
         ),
     ];
