fix(core): ask an idle agent for a stamp before sending it tasks

Cause: an agent that an entry had not used for 2 s reports every 5 s, so its newest stamp had lapsed and the first tasks came back as stale. Change: a permit whose receipt is nearly a lease old is not used; the agent is asked for a report, which it now sends at once after idleness.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -247,6 +247,9 @@
             if !old_epoch {
                 state.permit = state.permit.max(order.permit);
             }
+            if now.mono >= state.busy_until {
+                state.next_report = now.mono;
+            }
             state.busy_until = now.mono.plus(BUSY);
             state.next_report = state.next_report.min(now.mono.plus(self.timing.report));
         }
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -1,6 +1,8 @@
 //! Dispatch of queued tasks to agents.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use smallvec::SmallVec;
 
@@ -20,6 +22,9 @@
 /// Waiting work, as time of the whole fleet, beyond which no slot is kept back.
 const PRESSURE_MS: f64 = 1_000.0;
 
+/// Rest of a permit's life below which it is not used.
+const PERMIT_MARGIN: Duration = Duration::from_millis(100);
+
 /// One round of dispatches.
 #[derive(Debug)]
 struct Round {
@@ -104,6 +109,12 @@
         }
     }
 
+    /// Returns the oldest receipt of a permit that does not lapse on its way to the agent.
+    fn oldest_permit(&self, now: Now) -> Mono {
+        let rest = self.timing.lease.saturating_sub(PERMIT_MARGIN);
+        Mono(now.mono.0.saturating_sub(rest.as_micros() as u64))
+    }
+
     fn place(&mut self, flow: FlowKey, round: &Round, actions: &mut Vec<Action>) -> Option<Key> {
         let flow = self.queue.get(flow);
         let wanted = Wanted {
@@ -112,17 +123,49 @@
             pressed: round.pressed,
         };
         let (epoch, basis) = (self.row.epoch, round.basis);
+        let oldest = self.oldest_permit(round.now);
+        let idle = Cell::new(None);
         let mut rng = self.rng.clone();
-        let chosen = self.fleet.choose(self.policy, wanted, &mut rng, |agent| {
-            self.in_service(agent) && agent.epoch <= epoch && agent.has_fresh_permit(basis)
-        });
+        let chosen = self
+            .fleet
+            .choose(self.policy, wanted, &mut rng, |key, agent| {
+                if !self.in_service(agent) || agent.epoch > epoch {
+                    return false;
+                }
+                let permitted =
+                    agent.has_fresh_permit(basis) && agent.has_permit_since(basis, oldest);
+                if !permitted && idle.get().is_none() {
+                    idle.set(Some(key));
+                }
+                permitted
+            });
         self.rng = rng;
-        if chosen.is_none() && self.fleet.lacks_permit(basis) {
+        if let Some(key) = idle.get() {
+            self.ask_for_report(key, round.now, actions);
+        }
+        if chosen.is_none() && self.fleet.lacks_permit(basis, oldest) {
             self.hasten_beat(round.now, actions);
         }
         chosen
     }
 
+    /// Asks an agent that has reported too long ago for a new stamp.
+    fn ask_for_report(&mut self, key: Key, now: Now, actions: &mut Vec<Action>) {
+        let order = self.order(key);
+        let agent = &mut self.fleet.agents[key];
+        let silent = now.mono.since(agent.newest_stamp()) >= self.timing.report;
+        let asked = agent
+            .asked
+            .is_some_and(|at| now.mono.since(at) < self.timing.report);
+        if let Some(link) = agent.link
+            && silent
+            && !asked
+        {
+            agent.asked = Some(now.mono);
+            actions.push(Action::Order { link, order });
+        }
+    }
+
     /// Sends the first task of a flow to an agent.
     fn send(&mut self, flow: FlowKey, key: Key, round: &mut Round) {
         let Round {
--- a/crates/core/src/placement/agent.rs
+++ b/crates/core/src/placement/agent.rs
@@ -47,6 +47,8 @@
     pub epoch: u64,
     /// Number of the latest dispatch to it among all dispatches of this entry.
     pub turn: u64,
+    /// When it was last asked for a report.
+    pub asked: Option<Mono>,
     refused_permit: Option<Mono>,
     last_permit: Option<Mono>,
     slowness: Mean,
@@ -70,6 +72,7 @@
             unreported: 0,
             epoch: 0,
             turn: 0,
+            asked: None,
             refused_permit: None,
             last_permit: None,
             slowness: Mean::new(0.0),
@@ -102,6 +105,22 @@
         self.permit(basis) > self.refused_permit
     }
 
+    /// Returns when the newest stamp was received.
+    pub fn newest_stamp(&self) -> Mono {
+        self.stamps
+            .last()
+            .map_or(Mono(0), |(_stamp, received)| *received)
+    }
+
+    /// Returns whether the permit was received after `oldest`; an older one lapses on its way.
+    pub fn has_permit_since(&self, basis: Mono, oldest: Mono) -> bool {
+        self.stamps
+            .iter()
+            .rev()
+            .find(|(_stamp, received)| *received <= basis)
+            .is_some_and(|(_stamp, received)| *received >= oldest)
+    }
+
     /// Records the permit that an order carries.
     pub fn record_permit(&mut self, permit: Option<Mono>) {
         self.last_permit = self.last_permit.max(permit);
--- a/crates/core/src/placement/fleet.rs
+++ b/crates/core/src/placement/fleet.rs
@@ -106,11 +106,13 @@
         })
     }
 
-    /// Returns whether an agent with room waits for a newer permit.
-    pub fn lacks_permit(&self, basis: Mono) -> bool {
-        self.agents
-            .values()
-            .any(|agent| agent.has_room() && !agent.has_fresh_permit(basis))
+    /// Returns whether an agent with room that has reported since `oldest` waits for a newer
+    /// lease, so that its newest stamp may be echoed.
+    pub fn lacks_permit(&self, basis: Mono, oldest: Mono) -> bool {
+        self.agents.values().any(|agent| {
+            let permitted = agent.has_fresh_permit(basis) && agent.has_permit_since(basis, oldest);
+            !permitted && agent.newest_stamp() >= oldest && agent.has_room()
+        })
     }
 
     /// Returns the agent that the policy chooses for a task, `None` if the task should wait.
@@ -122,7 +124,7 @@
         usable: F,
     ) -> Option<Key>
     where
-        F: Fn(&Agent) -> bool,
+        F: Fn(Key, &Agent) -> bool,
     {
         let ranking = self.ranking(wanted.kind)?;
         if policy == Policy::ExpectedEnd {
@@ -133,7 +135,7 @@
             .iter()
             .chain(&ranking.full)
             .map(|(_end, key)| *key)
-            .filter(|key| usable(&self.agents[*key]))
+            .filter(|key| usable(*key, &self.agents[*key]))
             .collect();
         let least = |keys: &[Key]| {
             keys.iter()
@@ -159,12 +161,12 @@
     /// would end sooner on one that has no room yet.
     fn soonest<F>(&self, ranking: &Ranking, wanted: Wanted<'_>, usable: F) -> Option<Key>
     where
-        F: Fn(&Agent) -> bool,
+        F: Fn(Key, &Agent) -> bool,
     {
         let kept = |agent: &Agent| agent.reserved && wanted.lane == Lane::Long && !wanted.pressed;
         let fits = |key: &Key| {
             let agent = &self.agents[*key];
-            !kept(agent) && usable(agent)
+            !kept(agent) && usable(*key, agent)
         };
         let (end, key) = ranking.open.iter().find(|(_end, key)| fits(key))?;
         let waits = !wanted.pressed
--- a/crates/standin/src/load/measure.rs
+++ b/crates/standin/src/load/measure.rs
@@ -43,7 +43,7 @@
     pub refusals: BTreeMap<String, u64>,
     /// Dispatches of single tasks.
     pub dispatches: u64,
-    /// Frames with dispatches or outcomes, for each task that ended.
+    /// Frames between entries and agents, with or without tasks, for each task that ended.
     pub frames_per_task: f64,
     /// Dispatches, outcomes and recalls, for each task that ended.
     pub messages_per_task: f64,
--- a/crates/standin/src/load/world.rs
+++ b/crates/standin/src/load/world.rs
@@ -289,9 +289,7 @@
     }
 
     fn order(&mut self, link: u64, order: Order) {
-        if !order.dispatches.is_empty() || !order.recalls.is_empty() {
-            self.frames += 1;
-        }
+        self.frames += 1;
         self.messages += (order.dispatches.len() + order.recalls.len()) as u64;
         self.figures.dispatches += order.dispatches.len() as u64;
         let number = link as usize / self.entries.len();
@@ -358,9 +356,7 @@
         for action in actions {
             match action {
                 agent::Action::Report { link, report } => {
-                    if !report.outcomes.is_empty() {
-                        self.frames += 1;
-                    }
+                    self.frames += 1;
                     self.messages += report.outcomes.len() as u64;
                     let entry = link as usize % self.entries.len();
                     self.at(DELAY_US, Happening::Reported(entry, link, report));
