--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -129,7 +129,10 @@
         let chosen = self
             .fleet
             .choose(self.policy, wanted, &mut rng, |key, agent| {
-                if !self.in_service(agent) || agent.epoch > epoch {
+                if !self.in_service(agent)
+                    || !self.within_ramp(agent, round.now)
+                    || agent.epoch > epoch
+                {
                     return false;
                 }
                 let permitted =
--- a/crates/core/src/entry/outcome.rs
+++ b/crates/core/src/entry/outcome.rs
@@ -203,6 +203,7 @@
         actions: &mut Vec<Action>,
     ) {
         self.recall_all(key, actions);
+        let answer = self.without_lease(answer, now);
         self.queue.remove(key);
         let job = &mut self.jobs[key];
         assert!(
--- a/crates/core/src/placement/fleet.rs
+++ b/crates/core/src/placement/fleet.rs
@@ -95,15 +95,20 @@
         }
     }
 
-    /// Returns whether any agent in service serves the kind.
+    /// Returns whether any agent in service serves the kind, be it cut off for the moment.
     pub fn serves<F>(&self, kind: &str, in_service: F) -> bool
     where
         F: Fn(&Agent) -> bool,
     {
-        self.ranking(kind).is_some_and(|ranking| {
+        let reachable = self.ranking(kind).is_some_and(|ranking| {
             let mut keys = ranking.open.iter().chain(&ranking.full);
             keys.any(|(_end, key)| in_service(&self.agents[*key]))
-        })
+        });
+        reachable
+            || self.agents.values().any(|agent| {
+                let serves = agent.hello.kinds.iter().any(|k| k == kind);
+                serves && !agent.hello.leaving && in_service(agent)
+            })
     }
 
     /// Returns whether an agent with room that has reported since `oldest` waits for a newer
--- a/crates/standin/src/load/world.rs
+++ b/crates/standin/src/load/world.rs
@@ -280,10 +280,7 @@
                 // The dispatch and its reply.
                 *self.figures.wasted.entry(reason.to_string()).or_default() += 2;
             }
-            Action::Traced { .. }
-            | Action::Forward { .. }
-            | Action::Misdirected { .. }
-            | Action::WriteRow { .. } => {}
+            _ => {}
         }
         Ok(())
     }
