perf(core): keep fast agents back only while little waits

Cause: long jobs were kept off the fastest agents until a second of work of the whole fleet waited, which left slots idle. Change: 100 ms instead of 1 s.

--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -20,7 +20,7 @@
 const RANK_STRETCH: f64 = 10.0;
 
 /// Waiting work, as time of the whole fleet, beyond which no slot is kept back.
-const PRESSURE_MS: f64 = 1_000.0;
+const PRESSURE_MS: f64 = 100.0;
 
 /// Rest of a permit's life below which it is not used.
 const PERMIT_MARGIN: Duration = Duration::from_millis(100);
