--- a/crates/standin/src/load/world.rs
+++ b/crates/standin/src/load/world.rs
@@ -280,23 +280,13 @@
                 // The dispatch and its reply.
                 *self.figures.wasted.entry(reason.to_string()).or_default() += 2;
             }
-            Action::Traced { .. }
-            | Action::Forward { .. }
-            | Action::Misdirected { .. }
-            | Action::WriteRow { .. }
-            | Action::Inquire { .. }
-            | Action::AnswerInquiry { .. }
-            | Action::ClockApart { .. }
-            | Action::WriteCatalogue { .. }
-            | Action::Tell { .. } => {}
+            _ => {}
         }
         Ok(())
     }
 
     fn order(&mut self, link: u64, order: Order) {
-        if !order.dispatches.is_empty() || !order.recalls.is_empty() {
-            self.frames += 1;
-        }
+        self.frames += 1;
         self.messages += (order.dispatches.len() + order.recalls.len()) as u64;
         self.figures.dispatches += order.dispatches.len() as u64;
         let number = link as usize / self.entries.len();
@@ -363,9 +353,7 @@
         for action in actions {
             match action {
                 agent::Action::Report { link, report } => {
-                    if !report.outcomes.is_empty() {
-                        self.frames += 1;
-                    }
+                    self.frames += 1;
                     self.messages += report.outcomes.len() as u64;
                     let entry = link as usize % self.entries.len();
                     self.at(DELAY_US, Happening::Reported(entry, link, report));
