test: cover operators' changes under lost answers, outages and races

Cause: an entry that lost the answer to its one read of a new catalogue never read it again, so the change was never in force; a lost row write was repeated too rarely after an outage. Change: the catalogue is read again each second, a write is repeated at least each second.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -417,6 +417,7 @@
         self.tick_control(now, actions);
         self.tick_fleet(now, actions);
         self.recall_from_out_of_service(actions);
+        self.read_catalogue_again(now, actions);
         self.tick_jobs(now, actions);
     }
 
--- a/crates/core/src/entry/operator.rs
+++ b/crates/core/src/entry/operator.rs
@@ -225,6 +225,8 @@
     confirming: Vec<Confirming>,
     /// Highest catalogue version that this entry has tried to write.
     tried_version: u64,
+    /// When the catalogue in force is read again.
+    next_catalogue_read: Mono,
     /// Epoch that each member said last.
     epochs: HashMap<String, u64>,
     /// Service states at the last look.
--- a/crates/core/src/entry/operator/settle.rs
+++ b/crates/core/src/entry/operator/settle.rs
@@ -15,7 +15,10 @@
 const WRITE_AGAIN: Duration = Duration::from_millis(500);
 
 /// Longest time between repeated writes.
-const WRITE_AGAIN_MAX: Duration = Duration::from_secs(4);
+const WRITE_AGAIN_MAX: Duration = Duration::from_secs(1);
+
+/// Time between reads of a catalogue that was not answered.
+const READ_AGAIN: Duration = Duration::from_secs(1);
 
 impl Entry {
     /// Carries the changes of operators on as far as they can go now.
@@ -277,12 +280,29 @@
         }
     }
 
+    /// Returns the members that have not said that they are at `epoch`, and this one while it
+    /// lacks the catalogue.
     fn members_behind(&self, epoch: u64) -> Vec<String> {
-        let others = self.row.members.iter().filter(|m| m.name != self.me.name);
-        others
-            .filter(|member| self.operator.epoch_of(&member.name) < epoch)
-            .map(|member| member.name.clone())
-            .collect()
+        let lacks_catalogue = self.catalogue_version != self.row.catalogue;
+        let behind = |name: &str| {
+            if name == self.me.name {
+                return lacks_catalogue;
+            }
+            self.operator.epoch_of(name) < epoch
+        };
+        let names = self.row.members.iter().map(|member| member.name.clone());
+        names.filter(|name| behind(name)).collect()
+    }
+
+    /// Reads the catalogue in force again if an earlier read was not answered.
+    pub(in crate::entry) fn read_catalogue_again(&mut self, now: Now, actions: &mut Vec<Action>) {
+        if self.catalogue_version == self.row.catalogue {
+            self.operator.next_catalogue_read = now.mono.plus(READ_AGAIN);
+        } else if now.mono >= self.operator.next_catalogue_read {
+            self.operator.next_catalogue_read = now.mono.plus(READ_AGAIN);
+            let version = self.row.catalogue;
+            actions.push(Action::ReadCatalogue { version });
+        }
     }
 
     pub(in crate::entry) fn note_epoch(&mut self, member: &Member, epoch: u64) {
--- /dev/null
+++ b/crates/core/tests/operator.rs
@@ -0,0 +1,302 @@
+//! Operators' changes: settled, in force, refused, and what they do to agents.
+
+#[path = "fixtures/region.rs"]
+mod region;
+
+use std::time::Duration;
+
+use ibisspool_core::control::Row;
+use ibisspool_core::entry::operator::{Edit, End, NotAccepted, Service};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use region::{Region, data_centre, put};
+
+fn ends_in_force(end: &End) -> bool {
+    matches!(end, End::InForce { .. })
+}
+
+fn reason(end: &End) -> Option<NotAccepted> {
+    match end {
+        End::NotAccepted { reason, .. } => Some(*reason),
+        _ => None,
+    }
+}
+
+fn detail(end: &End) -> String {
+    match end {
+        End::NotAccepted { detail, .. } | End::Unsettled { detail } => detail.clone(),
+        _ => String::new(),
+    }
+}
+
+#[test]
+fn catalogue_change_is_in_force_at_every_entry() {
+    let mut region = Region::start(3);
+
+    let end = region.change(0, "c1", put("audit"));
+
+    assert!(ends_in_force(&end), "{end:?}");
+    for entry in &region.entries {
+        assert!(entry.catalogue().kind("audit").is_some());
+    }
+}
+
+#[test]
+fn change_without_a_blocking_set_is_written_and_names_who_is_missing() {
+    let mut region = Region::start(3);
+    region.cut = vec![1, 2];
+    region.store_for_cut = false;
+
+    let end = region.change(0, "c1", data_centre("north", Service::Out));
+
+    let End::Written { unconfirmed, .. } = end else {
+        panic!("expected a written change, got {end:?}");
+    };
+    assert_eq!(unconfirmed, ["entry-1", "entry-2"]);
+}
+
+#[test]
+fn lost_answer_of_the_row_write_is_settled_by_reading() {
+    let mut region = Region::start(3);
+    let before = region.row().epoch;
+    region.lose_answers = 1;
+
+    let end = region.change(0, "c1", data_centre("north", Service::Out));
+
+    assert!(ends_in_force(&end), "{end:?}");
+    assert_eq!(region.row().epoch, before + 1);
+}
+
+#[test]
+fn catalogue_version_whose_answer_was_lost_is_not_used_again() {
+    let mut region = Region::start(3);
+    let before = region.row().catalogue;
+    region.lose_answers = 1;
+
+    let end = region.change(0, "c1", put("audit"));
+
+    assert!(ends_in_force(&end), "{end:?}");
+    assert_eq!(region.row().catalogue, before + 2);
+}
+
+#[test]
+fn catalogue_whose_read_was_not_answered_is_read_again() {
+    let mut region = Region::start(3);
+    region.lose_reads = 1;
+
+    let end = region.change(0, "c1", put("audit"));
+
+    assert!(ends_in_force(&end), "{end:?}");
+}
+
+#[test]
+fn racing_change_is_refused_and_the_refusal_names_the_other() {
+    let mut region = Region::start(3);
+
+    let first = region.ask(0, "c1", put("audit"), false);
+    let second = region.ask(1, "c2", put("baseline"), false);
+    let (first, second) = (region.wait(first), region.wait(second));
+
+    let (winner, refused) = if ends_in_force(&first) {
+        ("c1", second)
+    } else {
+        ("c2", first)
+    };
+    assert_eq!(reason(&refused), Some(NotAccepted::Conflict), "{refused:?}");
+    assert!(detail(&refused).contains(winner), "{refused:?}");
+    let ids: Vec<String> = region.row().changes.into_iter().map(|c| c.id).collect();
+    assert_eq!(ids, [winner]);
+}
+
+#[test]
+fn membership_change_in_between_does_not_refuse_a_change() {
+    let mut region = Region::start(3);
+
+    let asked = region.ask(0, "c1", data_centre("north", Service::Out), false);
+    region.write_row(|row, now| row.with_change("join-other", now));
+    let end = region.wait(asked);
+
+    assert!(ends_in_force(&end), "{end:?}");
+}
+
+#[test]
+fn change_during_a_store_outage_is_unsettled_until_it_is_repeated() {
+    let mut region = Region::start(3);
+    region.down = true;
+
+    let lost = region.change(0, "c1", data_centre("north", Service::Out));
+    region.down = false;
+    let repeated = region.change(1, "c1", data_centre("north", Service::Out));
+
+    assert!(matches!(lost, End::Unsettled { .. }), "{lost:?}");
+    assert!(ends_in_force(&repeated), "{repeated:?}");
+    assert_eq!(region.row().changes.len(), 1);
+}
+
+#[test]
+fn change_at_an_entry_without_a_lease_is_refused() {
+    let mut region = Region::start(3);
+    region.cut = vec![0];
+    region.pass(Duration::from_secs(2));
+
+    let end = region.change(0, "c1", data_centre("north", Service::Out));
+
+    assert_eq!(reason(&end), Some(NotAccepted::NoLease));
+}
+
+#[test]
+fn last_data_centre_needs_force_and_the_refusal_names_the_kinds() {
+    let mut region = Region::start(3);
+    region.attach(0, "backend-0", "north");
+    region.attach(0, "backend-1", "south");
+    region.change(0, "c1", data_centre("north", Service::Out));
+
+    let refused = region.change(0, "c2", data_centre("south", Service::Out));
+    let forced = region.ask(0, "c3", data_centre("south", Service::Out), true);
+    let forced = region.wait(forced);
+
+    assert_eq!(reason(&refused), Some(NotAccepted::NeedsForce));
+    assert!(detail(&refused).contains("kind echo"), "{refused:?}");
+    assert!(ends_in_force(&forced), "{forced:?}");
+}
+
+#[test]
+fn only_backend_server_of_a_kind_needs_force() {
+    let mut region = Region::start(3);
+    region.attach(0, "backend-0", "north");
+    let name = "backend-0".to_owned();
+    let state = Service::Out;
+
+    let refused = region.change(0, "c1", Edit::Backend { name, state });
+
+    assert_eq!(reason(&refused), Some(NotAccepted::NeedsForce));
+}
+
+#[test]
+fn unknown_data_centre_is_refused_with_the_known_names() {
+    let mut region = Region::start(3);
+
+    let end = region.change(0, "c1", data_centre("nrth", Service::Out));
+
+    assert_eq!(reason(&end), Some(NotAccepted::Invalid));
+    assert!(detail(&end).contains("north, south"), "{end:?}");
+}
+
+#[test]
+fn unstarted_tasks_of_a_data_centre_taken_out_are_taken_back_and_none_are_sent() {
+    let mut region = Region::start(1);
+    region.attach(0, "backend-0", "north");
+    region.attach(0, "backend-1", "south");
+    region.submit(0, 18);
+    let held = region.dispatched("backend-0");
+
+    region.change(0, "c1", data_centre("north", Service::Out));
+    region.submit(0, 18);
+
+    assert!(held > 0);
+    assert_eq!(region.recalled("backend-0"), held);
+    assert_eq!(region.dispatched("backend-0"), held);
+}
+
+#[test]
+fn data_centre_that_returned_is_filled_up_step_by_step() {
+    let mut region = Region::start(1);
+    region.attach(0, "backend-0", "north");
+    region.attach(0, "backend-1", "south");
+    region.change(0, "c1", data_centre("north", Service::Out));
+    region.submit(0, 60);
+
+    region.write_row(|row, now| {
+        let mut row = row.with_operator_change("c2", now);
+        row.data_centres_out.clear();
+        row
+    });
+    region.pass(Duration::from_secs(1));
+    let early = region.dispatched("backend-0");
+    region.pass(Duration::from_secs(5));
+    let late = region.dispatched("backend-0");
+
+    assert!((1..=3).contains(&early), "{early}");
+    assert!(late >= 8, "{late}");
+}
+
+#[test]
+fn entry_of_a_data_centre_taken_out_hands_callers_over_unless_it_is_the_last() {
+    let mut region = Region::start(2);
+
+    region.change(0, "c1", data_centre("north", Service::Out));
+    let ready = [region.is_ready(0), region.is_ready(1)];
+    let asked = region.ask(0, "c2", data_centre("south", Service::Out), true);
+    region.wait(asked);
+    let after = [region.is_ready(0), region.is_ready(1)];
+
+    assert_eq!(ready, [false, true]);
+    assert_eq!(after, [true, true]);
+}
+
+/// Checks what must hold between two rows that followed each other.
+fn assert_follows(before: &Row, after: &Row) {
+    assert!(after.epoch >= before.epoch);
+    assert!(after.catalogue >= before.catalogue);
+    for change in &before.changes {
+        let kept = after.changes.contains(change) || after.changes.len() == 64;
+        assert!(kept, "change {} was reverted", change.id);
+    }
+}
+
+#[test]
+fn racing_changes_under_store_faults_are_never_reverted_nor_falsely_refused() {
+    for seed in 0..8 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut region = Region::start(3);
+        let mut refused = Vec::new();
+        let mut accepted = Vec::new();
+        let mut last = region.row();
+        for round in 0..25 {
+            region.lose_answers = u32::from(rng.random_bool(0.5));
+            region.down = rng.random_bool(0.2);
+            let kinds = ["a", "b"].map(|part| format!("{part}{round}"));
+            let asked = [0, 1].map(|operator| {
+                let entry = rng.random_range(0..3);
+                let id = format!("change-{}", kinds[operator]);
+                (
+                    id.clone(),
+                    region.ask(entry, &id, put(&kinds[operator]), false),
+                )
+            });
+            region.pass(Duration::from_millis(rng.random_range(0..3_000)));
+            region.down = false;
+            for (id, request) in asked {
+                match region.wait(request) {
+                    End::InForce { epoch, .. } => accepted.push((epoch, id)),
+                    End::NotAccepted { .. } => refused.push(id),
+                    other => panic!("seed {seed}: change {id} ended as {other:?}"),
+                }
+            }
+            assert_follows(&last, &region.row());
+            last = region.row();
+        }
+
+        assert!(
+            accepted.len() >= 25,
+            "seed {seed}: {} accepted",
+            accepted.len()
+        );
+        for (_epoch, id) in &accepted {
+            let kind = id.trim_start_matches("change-");
+            let held = region
+                .entries
+                .iter()
+                .all(|e| e.catalogue().kind(kind).is_some());
+            assert!(held, "seed {seed}: {id} was accepted and is not in force");
+        }
+        for id in &refused {
+            let kind = id.trim_start_matches("change-");
+            let held = region
+                .entries
+                .iter()
+                .any(|e| e.catalogue().kind(kind).is_some());
+            assert!(!held, "seed {seed}: {id} was refused and is in force");
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/cli.rs
@@ -0,0 +1,70 @@
+//! The command line: help, errors and exit codes.
+
+use std::ffi::OsString;
+
+use ibisspool::cli::{self, exit};
+
+fn help(words: &[&str]) -> String {
+    let mut command = cli::command();
+    for word in words {
+        command = command
+            .find_subcommand(word)
+            .expect("the command exists")
+            .clone()
+    }
+    command.render_help().to_string()
+}
+
+fn run(args: &[&str]) -> i32 {
+    let args = std::iter::once(&"ibisspool").chain(args);
+    cli::run(args.map(OsString::from))
+}
+
+fn parse_error(args: &[&str]) -> String {
+    let args = std::iter::once(&"ibisspool").chain(args);
+    match cli::command().try_get_matches_from(args) {
+        Ok(_matches) => "no error".to_owned(),
+        Err(error) => error.to_string(),
+    }
+}
+
+#[test]
+fn help_of_the_operator_commands_names_flags_and_exit_codes() {
+    insta::assert_snapshot!("help", help(&[]));
+    insta::assert_snapshot!("help_catalogue", help(&["catalogue"]));
+    insta::assert_snapshot!("help_catalogue_put", help(&["catalogue", "put"]));
+    insta::assert_snapshot!("help_data_centre_out", help(&["data-centre", "out"]));
+    insta::assert_snapshot!("help_status", help(&["status"]));
+}
+
+#[test]
+fn mistyped_commands_and_flags_are_explained() {
+    let missing = parse_error(&["data-centre", "out"]);
+    let unknown = parse_error(&["status", "--operator-token", "x"]);
+    let word = parse_error(&["catalogue", "putt", "file.toml"]);
+
+    insta::assert_snapshot!("errors", [missing, unknown, word].join("\n---\n"));
+}
+
+#[test]
+fn bad_usage_exits_with_2_and_asks_no_entry() {
+    assert_eq!(run(&["data-centre", "out", "no such name"]), exit::INVALID);
+    assert_eq!(
+        run(&["catalogue", "put", "/nonexistent.toml"]),
+        exit::INVALID
+    );
+    assert_eq!(run(&["status", "--timeout-ms", "0"]), exit::INVALID);
+}
+
+#[test]
+fn silent_entry_exits_with_5() {
+    let args = [
+        "status",
+        "--entry",
+        "http://127.0.0.1:1",
+        "--timeout-ms",
+        "1",
+    ];
+
+    assert_eq!(run(&args), exit::NO_ANSWER);
+}
--- /dev/null
+++ b/crates/entry/tests/secret.rs
@@ -0,0 +1,83 @@
+//! The operators' token: needed, compared, and never shown.
+
+use std::net::SocketAddr;
+
+use ibisspool::secret::Secret;
+use ibisspool::serve::{self, Running};
+use ibisspool::settings::Settings;
+
+const TOKEN: &str = "a-token-for-this-test-only";
+
+fn entry() -> Running {
+    let mut settings = Settings::new("entry-0", "north", "http://127.0.0.1:1");
+    settings.operator_token = Some(Secret::new(TOKEN).expect("the token is long enough"));
+    serve::start(&settings).expect("the entry starts without its platform")
+}
+
+fn get(address: SocketAddr, path: &str, token: Option<&str>) -> (u16, String) {
+    let mut request = attohttpc::get(format!("http://{address}{path}"));
+    if let Some(token) = token {
+        request = request.header("Authorization", format!("Bearer {token}"));
+    }
+    let response = request.send().expect("the entry answers");
+    (
+        response.status().as_u16(),
+        response.text().expect("the answer is text"),
+    )
+}
+
+#[test]
+fn operator_without_the_token_is_unauthorized_on_every_path() {
+    let entry = entry();
+
+    for path in [
+        "/v1/status",
+        "/v1/catalogue",
+        "/v1/data-centres/north",
+        "/v1/backends/x",
+    ] {
+        let (absent, body) = get(entry.address, path, None);
+        let (wrong, _body) = get(entry.address, path, Some("another-token-of-length"));
+
+        assert_eq!((absent, wrong), (401, 401), "{path}");
+        assert!(body.contains("\"unauthorized\""), "{body}");
+    }
+}
+
+#[test]
+fn operator_with_the_token_is_answered_and_the_token_stays_hidden() {
+    let entry = entry();
+
+    let (status, view) = get(entry.address, "/v1/status", Some(TOKEN));
+    let (_status, metrics) = get(entry.address, "/metrics", None);
+
+    assert_eq!(status, 200);
+    assert!(!view.contains(TOKEN));
+    assert!(!metrics.contains(TOKEN));
+}
+
+#[test]
+fn secret_hides_itself_in_debug_output_of_settings() {
+    let mut settings = Settings::new("entry-0", "north", "http://127.0.0.1:1");
+    settings.operator_token = Secret::new(TOKEN).ok();
+
+    let shown = format!("{settings:?}");
+
+    assert!(shown.contains("Secret(hidden)"));
+    assert!(!shown.contains(TOKEN));
+}
+
+#[test]
+fn secret_matches_itself_alone() {
+    let secret = Secret::new(&format!("{TOKEN}\n")).expect("the token is long enough");
+
+    assert!(secret.matches(TOKEN));
+    assert!(!secret.matches(&TOKEN[1..]));
+    assert!(!secret.matches(""));
+}
+
+#[test]
+fn short_or_unprintable_secrets_are_refused() {
+    assert!(Secret::new("short").is_err());
+    assert!(Secret::new("a token with spaces in it").is_err());
+}
