--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -518,6 +518,7 @@
         }
         self.advance_changes(now, actions);
         self.dispatch(now, actions);
+        self.acknowledge(actions);
     }
 
     fn tick(&mut self, now: Now, actions: &mut Vec<Action>) {
--- a/crates/core/src/placement/agent.rs
+++ b/crates/core/src/placement/agent.rs
@@ -7,6 +7,7 @@
 
 use super::estimate::{Mean, Work};
 use crate::frame::{Hello, Load};
+use crate::receipt::Receipt;
 use crate::time::Mono;
 
 /// Tasks that an agent may hold beyond its slots, enough to hide a round trip.
@@ -45,6 +46,8 @@
     pub unreported: u32,
     /// Highest epoch that it has seen.
     pub epoch: u64,
+    /// Outcomes received over the present connection.
+    pub receipt: Receipt,
     /// Number of the latest dispatch to it among all dispatches of this entry.
     pub turn: u64,
     refused_permit: Option<Mono>,
@@ -69,6 +72,7 @@
             outstanding: 0,
             unreported: 0,
             epoch: 0,
+            receipt: Receipt::new(),
             turn: 0,
             refused_permit: None,
             last_permit: None,
