--- a/crates/core/tests/random_runs.rs
+++ b/crates/core/tests/random_runs.rs
@@ -17,7 +17,7 @@
 const THREADS: usize = 4;
 
 /// Events printed before a violation.
-const EVENTS: usize = 150;
+const EVENTS: usize = 100_000;
 
 #[derive(Debug, Default)]
 struct Totals {
