--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -5,11 +5,14 @@
 mod control;
 mod dispatch;
 mod fleet;
+pub mod operator;
 mod outcome;
 mod submit;
+mod takeover;
 mod trace;
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -17,15 +20,18 @@
 
 use crate::catalogue::Catalogue;
 use crate::control::{Member, Row};
+use crate::fair_queue::Queue;
 use crate::frame::{Order, Report};
 use crate::job::{Answer, Id, Spec};
 use crate::lease::{Lease, Takeover};
-use crate::placement::Fleet;
+use crate::placement::{Fleet, Policy};
 use crate::refusal::Retry;
 use crate::settings::{Bounds, Timing};
+use crate::skew::Clocks;
 use crate::time::{Mono, Now};
 
 pub use submit::{Job, Key as JobKey, TaskState};
+pub use takeover::Findings;
 pub use trace::{Step, StepKind};
 
 /// A caller that waits for an answer; the edge that took the request chose the number.
@@ -120,6 +126,40 @@
         /// When the heartbeat was sent.
         sent: Mono,
     },
+    /// Another entry asks whether this one has a record of a job.
+    Inquired {
+        /// Who waits for the answer.
+        waiter: Waiter,
+        /// The job.
+        id: Id,
+        /// Epoch of the sender.
+        epoch: u64,
+    },
+    /// Another entry said whether it has a record of a job.
+    InquiryAnswered {
+        /// The entry and incarnation that was asked.
+        member: Member,
+        /// The job.
+        id: Id,
+        /// What it said.
+        findings: Findings,
+    },
+    /// Another entry did not say whether it has a record of a job.
+    InquiryLost {
+        /// The entry and incarnation that was asked.
+        member: Member,
+        /// The job.
+        id: Id,
+    },
+    /// A heartbeat's answer showed the wall clock of another entry.
+    ClockCompared {
+        /// The entry and incarnation that answered.
+        member: Member,
+        /// How far its clock is ahead of this entry's, in milliseconds.
+        ahead_ms: i64,
+        /// How far off that may be.
+        error: Duration,
+    },
     /// The control row was read.
     RowRead {
         /// When the read was sent.
@@ -138,6 +178,23 @@
         /// Its entries.
         catalogue: Catalogue,
     },
+    /// An operator asks for a change or a view.
+    Operate {
+        /// Number of the operator's request, chosen by the edge.
+        request: operator::Request,
+        /// What is asked.
+        question: operator::Question,
+    },
+    /// The catalogue of a version was written.
+    CatalogueWritten {
+        /// Its version.
+        version: u64,
+    },
+    /// The catalogue of a version exists already; another operator's change wrote it.
+    CatalogueTaken {
+        /// The version.
+        version: u64,
+    },
     /// The process was asked to stop.
     Stop,
     /// Time passed.
@@ -200,6 +257,28 @@
         /// Epoch of this entry.
         epoch: u64,
     },
+    /// Ask another entry whether it has a record of a job.
+    Inquire {
+        /// The entry.
+        to: Member,
+        /// The job.
+        id: Id,
+        /// Epoch of this entry.
+        epoch: u64,
+    },
+    /// Tell another entry whether this one has a record of a job.
+    AnswerInquiry {
+        /// Who waits.
+        waiter: Waiter,
+        /// What this entry knows.
+        findings: Findings,
+    },
+    /// Report that the wall clock went out of agreement with those of the other entries, which
+    /// costs the lease, or came back.
+    ClockApart {
+        /// Whether it is out of agreement.
+        apart: bool,
+    },
     /// Read the control row.
     ReadRow,
     /// Write the control row if its version is still `expect`.
@@ -214,6 +293,20 @@
         /// The version.
         version: u64,
     },
+    /// Write the catalogue of a version that must not exist yet.
+    WriteCatalogue {
+        /// The version.
+        version: u64,
+        /// Its entries.
+        catalogue: Catalogue,
+    },
+    /// Answer an operator.
+    Tell {
+        /// Number of the operator's request.
+        request: operator::Request,
+        /// The answer.
+        answer: operator::Answer,
+    },
     /// Count a task that is dispatched again.
     Retried(Retry),
 }
@@ -255,12 +348,16 @@
     catalogue: Catalogue,
     catalogue_version: u64,
     fleet: Fleet,
+    policy: Policy,
     links: HashMap<u64, crate::placement::Key>,
     jobs: SlotMap<JobKey, Job>,
     by_id: HashMap<Id, JobKey>,
-    queue: VecDeque<(JobKey, u32)>,
+    queue: Queue<JobKey>,
     forwards: HashMap<Waiter, Question>,
     parked: Vec<control::Parked>,
+    inquiries: HashMap<Id, takeover::Inquiry>,
+    in_force: takeover::InForce,
+    clocks: Clocks,
     deadlines: BTreeSet<(Mono, JobKey)>,
     expiries: BTreeSet<(Mono, JobKey)>,
     heard: HashMap<String, Mono>,
@@ -270,6 +367,10 @@
     next_read: Mono,
     asked_epoch: u64,
     leaving: bool,
+    joined: bool,
+    left: Option<Mono>,
+    released: bool,
+    operator: operator::State,
 }
 
 impl Entry {
@@ -287,12 +388,16 @@
             catalogue: Catalogue::default(),
             catalogue_version: 0,
             fleet: Fleet::new(),
+            policy: Policy::default(),
             links: HashMap::new(),
             jobs: SlotMap::with_key(),
             by_id: HashMap::new(),
-            queue: VecDeque::new(),
+            queue: Queue::new(),
             forwards: HashMap::new(),
             parked: Vec::new(),
+            inquiries: HashMap::new(),
+            in_force: takeover::InForce::new(),
+            clocks: Clocks::new(),
             deadlines: BTreeSet::new(),
             expiries: BTreeSet::new(),
             heard: HashMap::new(),
@@ -302,9 +407,20 @@
             next_read: Mono(0),
             asked_epoch: 0,
             leaving: false,
+            joined: false,
+            left: None,
+            released: false,
+            operator: operator::State::new(),
         }
     }
 
+    /// Sets the policy by which agents are chosen.
+    #[must_use]
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Decides on one event.
     pub fn handle(&mut self, event: Event, now: Now, actions: &mut Vec<Action>) {
         match event {
@@ -339,7 +455,7 @@
             Event::ForwardAnswered { waiter } => {
                 self.forwards.remove(&waiter);
             }
-            Event::ForwardLost { waiter } => self.forward_lost(waiter, now),
+            Event::ForwardLost { waiter } => self.forward_lost(waiter, now, actions),
             Event::Reported { link, report } => self.reported(link, report, now, actions),
             Event::Detached { link } => self.detached(link, now),
             Event::Beat { waiter, epoch } => {
@@ -354,24 +470,59 @@
                 epoch,
                 sent,
             } => {
+                self.note_epoch(&member, epoch);
                 self.beat_answered(&member, epoch, sent, now, actions);
             }
+            Event::Inquired { waiter, id, epoch } => {
+                self.inquired(waiter, &id, epoch, now, actions);
+            }
+            Event::InquiryAnswered {
+                member,
+                id,
+                findings,
+            } => {
+                self.inquiry_answered(&member, &id, findings, now, actions);
+                self.retry_parked(now, actions);
+            }
+            Event::InquiryLost { member, id } => {
+                self.inquiry_lost(&member, &id, now);
+                self.retry_parked(now, actions);
+            }
+            Event::ClockCompared {
+                member,
+                ahead_ms,
+                error,
+            } => {
+                self.clocks
+                    .record(&member.name, ahead_ms, error, &self.timing, now.mono);
+                self.compare_clocks(now, actions);
+            }
             Event::RowRead { sent, version, row } => {
                 self.row_read(sent, version, row, now, actions);
+                self.services_changed(now, actions);
             }
             Event::RowConflict => actions.push(Action::ReadRow),
             Event::CatalogueRead { version, catalogue } => {
                 self.catalogue_read(version, catalogue);
             }
+            Event::Operate { request, question } => {
+                self.operate(request, question, now, actions);
+            }
+            Event::CatalogueWritten { version } => {
+                self.catalogue_written(version, now, actions);
+            }
+            Event::CatalogueTaken { version } => self.catalogue_taken(version, now, actions),
             Event::Stop => self.stop(now, actions),
             Event::Tick => self.tick(now, actions),
         }
+        self.advance_changes(now, actions);
         self.dispatch(now, actions);
     }
 
     fn tick(&mut self, now: Now, actions: &mut Vec<Action>) {
         self.tick_control(now, actions);
         self.tick_fleet(now, actions);
+        self.recall_from_out_of_service(actions);
         self.tick_jobs(now, actions);
     }
 
@@ -389,19 +540,15 @@
     /// Returns whether this entry may decide, takes new work and knows the catalogue in force.
     pub fn is_ready(&self, now: Now) -> bool {
         !self.leaving
-            && self.lease_basis(now).is_some()
+            && !self.hands_over()
+            && self.may_decide(now)
             && self.catalogue_version == self.row.catalogue
     }
 
-    /// Returns whether a leaving entry has nothing left to finish.
+    /// Returns whether a leaving entry has nothing left to finish, and its successors have had
+    /// the time to ask it about the ids that they took over.
     pub fn is_drained(&self) -> bool {
-        self.leaving
-            && self.forwards.is_empty()
-            && self.jobs.values().all(Job::is_ended)
-            && self
-                .row
-                .member(&self.me.name)
-                .is_none_or(|m| m.incarnation != self.me.incarnation)
+        self.released && self.forwards.is_empty() && self.jobs.values().all(Job::is_ended)
     }
 
     /// Returns the control row that this entry has adopted.
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -19,6 +19,8 @@
     pub window: Duration,
     /// How far an id's creation time may lie ahead.
     pub skew: Duration,
+    /// How far the wall clocks of two entries with a lease may differ.
+    pub clock_skew: Duration,
     /// Time between an agent's reports to an entry that uses it.
     pub report: Duration,
     /// Time between an agent's reports to an entry that does not use it.
@@ -37,6 +39,7 @@
             silence: Duration::from_secs(1),
             window: Duration::from_mins(10),
             skew: Duration::from_secs(1),
+            clock_skew: Duration::from_millis(250),
             report: Duration::from_millis(250),
             idle_report: Duration::from_secs(5),
             agent_silence: Duration::from_secs(5),
@@ -53,6 +56,8 @@
     pub result_bytes: usize,
     /// Callers that wait for an answer.
     pub waiters: usize,
+    /// Callers that wait for the answer of one job.
+    pub waiters_per_job: usize,
     /// Tasks that wait for a backend server.
     pub queued_tasks: usize,
     /// Tasks in one job.
@@ -67,6 +72,7 @@
             jobs: 1_000_000,
             result_bytes: 256 << 20,
             waiters: 20_000,
+            waiters_per_job: 1_000,
             queued_tasks: 200_000,
             tasks_per_job: 420,
             input_bytes: 64 << 10,
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -13,6 +13,7 @@
 use ibisspool_core::entry::{Event, Origin, Question, Waiter};
 use ibisspool_core::frame::Order;
 use ibisspool_core::job::Id;
+use ibisspool_core::time::Now;
 use ibisspool_kernel::clock::Clock;
 use ibisspool_wire::generated as wire;
 use ibisspool_wire::generated::link_server::{Link, LinkServer};
@@ -31,6 +32,9 @@
 /// Time within which a heartbeat must be answered.
 const BEAT_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Time within which an inquiry about a job must be answered.
+const INQUIRY_TIMEOUT: Duration = Duration::from_millis(900);
+
 /// Time between pings on a connection with an open call, and the wait for each.
 const PING: Duration = Duration::from_millis(500);
 
@@ -135,16 +139,41 @@
                 incarnation: to.incarnation,
                 epoch,
             };
-            let sent = clock.mono();
+            let sent = clock.now();
             let call = client.heartbeat(beat);
-            if let Ok(Ok(answer)) = tokio::time::timeout(BEAT_TIMEOUT, call).await {
-                let epoch = answer.into_inner().epoch;
-                let _ended = events.send(Event::BeatAnswered {
-                    member: to,
-                    epoch,
-                    sent,
-                });
+            let Ok(Ok(answer)) = tokio::time::timeout(BEAT_TIMEOUT, call).await else {
+                return;
+            };
+            let answer = answer.into_inner();
+            if let Some(wall) = answer.wall_ms {
+                let _ended = events.send(compared(to.clone(), wall, sent, clock.now()));
             }
+            let _ended = events.send(Event::BeatAnswered {
+                member: to,
+                epoch: answer.epoch,
+                sent: sent.mono,
+            });
+        });
+    }
+
+    /// Asks another entry whether it has a record of a job.
+    pub fn inquire(&self, to: Member, id: Id, epoch: u64) {
+        let Some(mut client) = self.client(&to.address) else {
+            let _ended = self.events.send(Event::InquiryLost { member: to, id });
+            return;
+        };
+        let events = self.events.clone();
+        self.runtime.spawn(async move {
+            let call = client.inquire(encode::inquiry(to.incarnation, epoch, &id));
+            let event = match tokio::time::timeout(INQUIRY_TIMEOUT, call).await {
+                Ok(Ok(answer)) => Event::InquiryAnswered {
+                    member: to,
+                    id,
+                    findings: decode::findings(answer.into_inner()),
+                },
+                _ => Event::InquiryLost { member: to, id },
+            };
+            let _ended = events.send(event);
         });
     }
 
@@ -189,6 +218,17 @@
     }
 }
 
+/// Compares the wall clock of an entry, read between `sent` and `received`, with this one's.
+fn compared(member: Member, wall_ms: u64, sent: Now, received: Now) -> Event {
+    let error = received.mono.since(sent.mono) / 2;
+    let here = sent.wall.plus(error).0;
+    Event::ClockCompared {
+        member,
+        ahead_ms: wall_ms.cast_signed().wrapping_sub(here.cast_signed()),
+        error,
+    }
+}
+
 fn sized(channel: Channel) -> PeerClient<Channel> {
     PeerClient::new(channel).max_decoding_message_size(MESSAGE_BYTES)
 }
@@ -257,7 +297,34 @@
         let epoch = answer
             .await
             .map_err(|_gone| Status::unavailable("the entry stops"))?;
-        Ok(Response::new(wire::BeatAnswer { epoch }))
+        Ok(Response::new(wire::BeatAnswer {
+            epoch,
+            wall_ms: Some(self.clock.now().wall.0),
+        }))
+    }
+
+    async fn inquire(
+        &self,
+        request: Request<wire::Inquiry>,
+    ) -> Result<Response<wire::Findings>, Status> {
+        let inquiry = request.into_inner();
+        if inquiry.incarnation != self.incarnation {
+            return Err(Status::failed_precondition("another incarnation was asked"));
+        }
+        let id = decode::inquiry(&inquiry).map_err(|error| {
+            self.metrics.malformed.inc();
+            Status::invalid_argument(error.to_string())
+        })?;
+        let (waiter, answer) = self.waiters.add_inquiry();
+        let _ended = self.events.send(Event::Inquired {
+            waiter,
+            id,
+            epoch: inquiry.epoch,
+        });
+        let findings = answer
+            .await
+            .map_err(|_gone| Status::unavailable("the entry stops"))?;
+        Ok(Response::new(encode::findings(findings)))
     }
 
     async fn ask(&self, request: Request<wire::Question>) -> Result<Response<wire::Reply>, Status> {
