--- a/crates/agent/tests/stop.rs
+++ b/crates/agent/tests/stop.rs
@@ -107,6 +107,8 @@
         answers.extend(submit(&local).into_iter().map(join));
     }
 
-    assert!(answers.iter().all(|answer| answer.state == "complete"));
+    for answer in &answers {
+        assert_eq!(answer.state, "complete", "{answer:?}");
+    }
     assert!(starts(&local).values().all(|count| *count == 1));
 }
