--- a/crates/core/src/entry/takeover.rs
+++ b/crates/core/src/entry/takeover.rs
@@ -81,13 +81,6 @@
         if !self.may_decide(now) {
             return Admission::Refuse(no_lease());
         }
-        if self
-            .takeover
-            .leasable()
-            .any(|row| !self.is_mine(&row.members, id))
-        {
-            return Admission::Wait;
-        }
         let known = self.inquiries.get(id).map_or(0, |inquiry| inquiry.clear);
         let clear = known.max(self.clear_epoch(id));
         let previous = self.previous_coordinators(id, clear);
@@ -162,11 +155,8 @@
 
     /// Returns whether this entry may start an id of its own without asking or waiting.
     pub(super) fn is_unmoved(&self, id: &Id) -> bool {
-        let mut earlier = self.takeover.leasable();
-        earlier.all(|row| self.is_mine(&row.members, id))
-            && self
-                .previous_coordinators(id, self.clear_epoch(id))
-                .is_empty()
+        self.previous_coordinators(id, self.clear_epoch(id))
+            .is_empty()
     }
 
     /// Returns the highest past epoch in or below which nobody can have accepted the id, because
@@ -266,10 +256,6 @@
             .retain(|_id, inquiry| now.mono < inquiry.until);
     }
 
-    fn is_mine(&self, members: &[Member], id: &Id) -> bool {
-        rendezvous::coordinator(members, id).is_none_or(|member| self.is_me(member))
-    }
-
     /// Returns whether the member is this very process.
     pub(super) fn is_me(&self, member: &Member) -> bool {
         member.name == self.me.name && member.incarnation == self.me.incarnation
--- a/crates/core/tests/takeover.rs
+++ b/crates/core/tests/takeover.rs
@@ -55,6 +55,19 @@
     assert!(!cluster.answers.contains_key(&waiter));
 }
 
+#[test]
+fn key_that_moved_from_a_live_coordinator_does_not_wait_for_the_takeover() {
+    let mut cluster = cluster(&["a", "b"]);
+    let id = moving_to_c(&cluster);
+
+    let c = cluster.start("c", 1);
+    cluster.run(20);
+    cluster.submit(c, id);
+    cluster.run(20);
+
+    assert_eq!(cluster.starts(id), [c]);
+}
+
 #[test]
 fn id_made_after_the_barrier_is_started_without_an_inquiry() {
     let mut cluster = cluster(&["a", "b", "c"]);
