--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -5,12 +5,13 @@
 mod control;
 mod dispatch;
 mod fleet;
+pub mod operator;
 mod outcome;
 mod submit;
 mod takeover;
 mod trace;
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use rand::SeedableRng;
@@ -19,10 +20,11 @@
 
 use crate::catalogue::Catalogue;
 use crate::control::{Member, Row};
+use crate::fair_queue::Queue;
 use crate::frame::{Order, Report};
 use crate::job::{Answer, Id, Spec};
 use crate::lease::{Lease, Takeover};
-use crate::placement::Fleet;
+use crate::placement::{Fleet, Policy};
 use crate::refusal::Retry;
 use crate::settings::{Bounds, Timing};
 use crate::skew::Clocks;
@@ -176,6 +178,23 @@
         /// Its entries.
         catalogue: Catalogue,
     },
+    /// An operator asks for a change or a view.
+    Operate {
+        /// Number of the operator's request, chosen by the edge.
+        request: operator::Request,
+        /// What is asked.
+        question: operator::Question,
+    },
+    /// The catalogue of a version was written.
+    CatalogueWritten {
+        /// Its version.
+        version: u64,
+    },
+    /// The catalogue of a version exists already; another operator's change wrote it.
+    CatalogueTaken {
+        /// The version.
+        version: u64,
+    },
     /// The process was asked to stop.
     Stop,
     /// Time passed.
@@ -274,6 +293,20 @@
         /// The version.
         version: u64,
     },
+    /// Write the catalogue of a version that must not exist yet.
+    WriteCatalogue {
+        /// The version.
+        version: u64,
+        /// Its entries.
+        catalogue: Catalogue,
+    },
+    /// Answer an operator.
+    Tell {
+        /// Number of the operator's request.
+        request: operator::Request,
+        /// The answer.
+        answer: operator::Answer,
+    },
     /// Count a task that is dispatched again.
     Retried(Retry),
 }
@@ -315,10 +348,11 @@
     catalogue: Catalogue,
     catalogue_version: u64,
     fleet: Fleet,
+    policy: Policy,
     links: HashMap<u64, crate::placement::Key>,
     jobs: SlotMap<JobKey, Job>,
     by_id: HashMap<Id, JobKey>,
-    queue: VecDeque<(JobKey, u32)>,
+    queue: Queue<JobKey>,
     forwards: HashMap<Waiter, Question>,
     parked: Vec<control::Parked>,
     inquiries: HashMap<Id, takeover::Inquiry>,
@@ -336,6 +370,7 @@
     joined: bool,
     left: Option<Mono>,
     released: bool,
+    operator: operator::State,
 }
 
 impl Entry {
@@ -353,10 +388,11 @@
             catalogue: Catalogue::default(),
             catalogue_version: 0,
             fleet: Fleet::new(),
+            policy: Policy::default(),
             links: HashMap::new(),
             jobs: SlotMap::with_key(),
             by_id: HashMap::new(),
-            queue: VecDeque::new(),
+            queue: Queue::new(),
             forwards: HashMap::new(),
             parked: Vec::new(),
             inquiries: HashMap::new(),
@@ -374,9 +410,17 @@
             joined: false,
             left: None,
             released: false,
+            operator: operator::State::new(),
         }
     }
 
+    /// Sets the policy by which agents are chosen.
+    #[must_use]
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Decides on one event.
     pub fn handle(&mut self, event: Event, now: Now, actions: &mut Vec<Action>) {
         match event {
@@ -426,6 +470,7 @@
                 epoch,
                 sent,
             } => {
+                self.note_epoch(&member, epoch);
                 self.beat_answered(&member, epoch, sent, now, actions);
             }
             Event::Inquired { waiter, id, epoch } => {
@@ -454,20 +499,30 @@
             }
             Event::RowRead { sent, version, row } => {
                 self.row_read(sent, version, row, now, actions);
+                self.services_changed(now, actions);
             }
             Event::RowConflict => actions.push(Action::ReadRow),
             Event::CatalogueRead { version, catalogue } => {
                 self.catalogue_read(version, catalogue);
             }
+            Event::Operate { request, question } => {
+                self.operate(request, question, now, actions);
+            }
+            Event::CatalogueWritten { version } => {
+                self.catalogue_written(version, now, actions);
+            }
+            Event::CatalogueTaken { version } => self.catalogue_taken(version, now, actions),
             Event::Stop => self.stop(now, actions),
             Event::Tick => self.tick(now, actions),
         }
+        self.advance_changes(now, actions);
         self.dispatch(now, actions);
     }
 
     fn tick(&mut self, now: Now, actions: &mut Vec<Action>) {
         self.tick_control(now, actions);
         self.tick_fleet(now, actions);
+        self.recall_from_out_of_service(actions);
         self.tick_jobs(now, actions);
     }
 
@@ -476,9 +531,18 @@
         self.row.epoch
     }
 
+    /// Returns whether this entry is at `epoch` or later and no entry can hold a lease of an
+    /// earlier epoch than `epoch`.
+    pub fn is_in_force(&self, epoch: u64) -> bool {
+        self.row.epoch >= epoch && self.takeover.in_force(epoch)
+    }
+
     /// Returns whether this entry may decide, takes new work and knows the catalogue in force.
     pub fn is_ready(&self, now: Now) -> bool {
-        !self.leaving && self.may_decide(now) && self.catalogue_version == self.row.catalogue
+        !self.leaving
+            && !self.hands_over()
+            && self.may_decide(now)
+            && self.catalogue_version == self.row.catalogue
     }
 
     /// Returns whether a leaving entry has nothing left to finish, and its successors have had
