--- a/crates/core/src/entry/control.rs
+++ b/crates/core/src/entry/control.rs
@@ -284,9 +284,15 @@
             };
             self.takeover.begin(before, &self.me.name, now.mono);
         }
-        if row.members == self.row.members {
-            self.takeover
-                .begin(self.row.clone(), &self.me.name, now.mono);
+        // The present members held all epochs since the last change of members.
+        let last = row.past.last().map_or(0, |past| past.epoch);
+        if row.epoch > last + 1 {
+            let before = Row {
+                epoch: row.epoch - 1,
+                members: row.members.clone(),
+                ..Row::default()
+            };
+            self.takeover.begin(before, &self.me.name, now.mono);
         }
         self.lease.reset();
         self.row = row;
--- a/crates/core/tests/network/network.rs
+++ b/crates/core/tests/network/network.rs
@@ -15,9 +15,9 @@
 use ibisspool_core::agent::{self, Agent};
 use ibisspool_core::catalogue::{Catalogue, Class, Kind};
 use ibisspool_core::control::{Member, Row};
-use ibisspool_core::entry::{self, Entry, Question};
+use ibisspool_core::entry::{self, Entry, Findings, Question};
 use ibisspool_core::frame::{Order, Report};
-use ibisspool_core::job::{Answer, Spec};
+use ibisspool_core::job::{Answer, Id, Spec};
 use ibisspool_core::time::{Mono, Now, Wall};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -70,6 +70,19 @@
         epoch: u64,
         sent: Mono,
     },
+    /// An inquiry of `from` about a job, meant for the incarnation of the member.
+    Inquiry {
+        from: Process,
+        member: Member,
+        id: Id,
+        epoch: u64,
+    },
+    /// The answer to an inquiry, `None` if it is lost.
+    Findings {
+        member: Member,
+        id: Id,
+        findings: Option<Findings>,
+    },
     /// A forwarded question of another entry.
     Question {
         from: Process,
@@ -180,6 +193,11 @@
         member: Member,
         sent: Mono,
     },
+    Inquiry {
+        from: Process,
+        member: Member,
+        id: Id,
+    },
     Peer {
         from: Process,
         call: u64,
