--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -113,6 +113,7 @@
     hello: Hello,
     incarnation: u64,
     timing: Timing,
+    queue_per_slot: usize,
     epoch: u64,
     links: BTreeMap<u64, Link>,
     queue: Queue,
@@ -141,6 +142,7 @@
             hello,
             incarnation,
             timing,
+            queue_per_slot: QUEUE_PER_SLOT,
             epoch: 0,
             links: BTreeMap::new(),
             queue: Queue::new(),
@@ -169,6 +171,13 @@
         self
     }
 
+    /// Sets how many tasks may wait for each slot before further ones are declined.
+    #[must_use]
+    pub fn with_queue_per_slot(mut self, tasks: usize) -> Self {
+        self.queue_per_slot = tasks;
+        self
+    }
+
     /// Decides on one event.
     pub fn handle(&mut self, event: Event, now: Now, actions: &mut Vec<Action>) {
         match event {
--- a/crates/core/src/agent/orders.rs
+++ b/crates/core/src/agent/orders.rs
@@ -1,6 +1,6 @@
 //! Orders of entries: dispatches, recalls and queries.
 
-use super::{Action, Agent, BUSY, QUEUE_PER_SLOT, Record, Waiting};
+use super::{Action, Agent, BUSY, Record, Waiting};
 use crate::frame::{Attempt, Dispatch, End, NotStarted, Order, Outcome};
 use crate::job::Task;
 use crate::time::Now;
@@ -85,7 +85,7 @@
         if self.hello.leaving {
             return self.decline(&waiting, NotStarted::Leaving, now);
         }
-        let queue_full = self.queue.len() >= self.hello.slots as usize * QUEUE_PER_SLOT;
+        let queue_full = self.queue.len() >= self.hello.slots as usize * self.queue_per_slot;
         if queue_full || self.ledger.is_full(self.queue.len()) {
             return self.decline(&waiting, NotStarted::Full, now);
         }
--- a/crates/core/src/entry/fleet.rs
+++ b/crates/core/src/entry/fleet.rs
@@ -29,6 +29,7 @@
         for outcome in report.outcomes {
             self.ended(key, outcome, now, actions);
         }
+        self.fleet.reindex(key);
     }
 
     /// Returns the agent behind a connection, after its first report has named it.
@@ -92,11 +93,13 @@
             let agent = &mut self.fleet.agents[key];
             agent.link = None;
             agent.heard = now.mono;
+            self.fleet.reindex(key);
         }
     }
 
     pub(super) fn tick_fleet(&mut self, now: Now, actions: &mut Vec<Action>) {
         self.send_acknowledgements(now, actions);
+        self.fleet.review(now.mono, self.row.members.len());
         let silence = self.timing.agent_silence;
         let lost: Vec<Key> = self
             .fleet
@@ -155,7 +158,7 @@
         self.links.retain(|_link, other| *other != key);
     }
 
-    fn attempts_on(&self, key: Key) -> Vec<Attempt> {
+    pub(super) fn attempts_on(&self, key: Key) -> Vec<Attempt> {
         let mut attempts = Vec::new();
         for job in self.jobs.values().filter(|job| !job.is_ended()) {
             for (index, state) in (0..).zip(&job.tasks) {
--- a/crates/core/src/entry/submit.rs
+++ b/crates/core/src/entry/submit.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::Xxh3Default;
 
 use super::{Action, Entry, Origin, Question, Step, StepKind, Waiter};
+use crate::control::Member;
 use crate::job::{Answer, Id, Spec};
 use crate::placement;
 use crate::refusal::{Ran, Reason, Refusal};
@@ -23,6 +24,9 @@
 /// Draws of an id before one that another entry coordinates is taken.
 const ID_DRAWS: u32 = 1_000;
 
+/// Draws of an id before one that an earlier coordinator must be asked about is taken.
+const UNMOVED_DRAWS: u32 = 100;
+
 /// Steps kept of one job's trace.
 const TRACE_STEPS: usize = 2_048;
 
@@ -89,6 +93,8 @@
     Start,
     /// Not yet: ask again later.
     Wait,
+    /// It may not: a previous coordinator has the record.
+    Forward(Member),
     /// It may not.
     Refuse(Refusal),
 }
@@ -112,12 +118,14 @@
         self.ask(waiter, Question::Submit(spec), forwarded, now, actions);
     }
 
-    /// Draws an id that this entry coordinates, so that the job needs no forward hop.
+    /// Draws an id that this entry coordinates, so that the job needs no forward hop, and that it
+    /// coordinated before, so that the job need not wait for a takeover.
     fn draw_id(&mut self, now: Now) -> Id {
         let mut id = Id::new(now.wall, self.rng.random());
-        for _draw in 0..ID_DRAWS {
+        for draw in 0..ID_DRAWS {
             let coordinator = rendezvous::coordinator(&self.row.members, &id);
-            if coordinator.is_none_or(|member| member.name == self.me.name) {
+            let mine = coordinator.is_none_or(|member| self.is_me(member));
+            if mine && (draw >= UNMOVED_DRAWS || self.is_unmoved(&id)) {
                 break;
             }
             id = Id::new(now.wall, self.rng.random());
@@ -141,13 +149,23 @@
         let Some(coordinator) = rendezvous::coordinator(&self.row.members, &id) else {
             return answer(waiter, id, Answer::Refused(no_lease()), actions);
         };
-        if coordinator.name == self.me.name {
+        if self.is_me(coordinator) {
             return self.answer_here(waiter, question, now, actions);
         }
         if forwarded {
             return actions.push(Action::Misdirected { waiter });
         }
         let to = coordinator.clone();
+        self.forward(waiter, to, question, actions);
+    }
+
+    fn forward(
+        &mut self,
+        waiter: Waiter,
+        to: Member,
+        question: Question,
+        actions: &mut Vec<Action>,
+    ) {
         self.forwards.insert(waiter, question.clone());
         actions.push(Action::Forward {
             waiter,
@@ -157,9 +175,10 @@
     }
 
     /// Tries again after the entry that a question was forwarded to did not answer it.
-    pub(super) fn forward_lost(&mut self, waiter: Waiter, now: Now) {
+    pub(super) fn forward_lost(&mut self, waiter: Waiter, now: Now, actions: &mut Vec<Action>) {
         if let Some(question) = self.forwards.remove(&waiter) {
-            self.park(waiter, question, now);
+            self.inquiries.remove(&question.id());
+            self.park(waiter, question, now, actions);
         }
     }
 
@@ -170,27 +189,70 @@
         now: Now,
         actions: &mut Vec<Action>,
     ) {
-        match question {
-            Question::Submit(spec) => self.submit_here(waiter, spec, now, actions),
-            Question::Get(id) => self.get_here(waiter, id, actions),
-            Question::Cancel(id) => self.cancel_here(waiter, id, now, actions),
-            Question::Trace(id) => self.trace_here(waiter, id, actions),
+        if let Some(key) = self.by_id.get(&question.id()).copied() {
+            return self.answer_known(waiter, key, question, now, actions);
+        }
+        let admission = match &question {
+            Question::Submit(_) | Question::Cancel(_) => self.admit(&question.id(), now, actions),
+            Question::Get(id) | Question::Trace(id) => self.locate(id, now, actions),
+        };
+        match admission {
+            Admission::Refuse(refusal) => {
+                answer(waiter, question.id(), Answer::Refused(refusal), actions);
+            }
+            Admission::Wait => self.park(waiter, question, now, actions),
+            Admission::Forward(holder) => self.forward(waiter, holder, question, actions),
+            Admission::Start => self.answer_unknown(waiter, question, now, actions),
         }
     }
 
-    fn submit_here(&mut self, waiter: Waiter, spec: Spec, now: Now, actions: &mut Vec<Action>) {
-        if let Some(key) = self.by_id.get(&spec.id).copied() {
-            return self.join(waiter, key, &spec, now, actions);
-        }
-        match self.admit(&spec.id, now) {
-            Admission::Refuse(refusal) => {
-                answer(waiter, spec.id, Answer::Refused(refusal), actions);
+    /// Answers a question about a job that this entry has a record of.
+    fn answer_known(
+        &mut self,
+        waiter: Waiter,
+        key: Key,
+        question: Question,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        match question {
+            Question::Submit(spec) => self.join(waiter, key, &spec, now, actions),
+            Question::Get(id) => self.wait_for(waiter, key, id, actions),
+            Question::Cancel(id) => {
+                self.cancel(key, now, actions);
+                self.wait_for(waiter, key, id, actions);
+            }
+            Question::Trace(id) => {
+                let steps = self.jobs[key].trace.clone();
+                actions.push(Action::Traced { waiter, id, steps });
             }
-            Admission::Wait => self.park(waiter, Question::Submit(spec), now),
-            Admission::Start => match self.check_spec(&spec) {
+        }
+    }
+
+    /// Answers a question about a job that no entry has a record of.
+    fn answer_unknown(
+        &mut self,
+        waiter: Waiter,
+        question: Question,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        match question {
+            Question::Submit(spec) => match self.check_spec(&spec) {
                 Ok(()) => self.accept(waiter, spec, now),
                 Err(refusal) => self.tombstone(waiter, spec.id, refusal, now, actions),
             },
+            Question::Get(id) | Question::Trace(id) => {
+                answer(waiter, id, Answer::Refused(not_found()), actions);
+            }
+            Question::Cancel(id) => {
+                let refusal = Refusal::new(
+                    Reason::Cancelled,
+                    Ran::No,
+                    "the job was cancelled before it was submitted; submit a new id to run it",
+                );
+                self.tombstone(waiter, id, refusal, now, actions);
+            }
         }
     }
 
@@ -206,61 +268,49 @@
             return answer(waiter, spec.id, Answer::Refused(refusal), actions);
         }
         job.note(now, StepKind::Joined);
-        match &job.answer {
-            Some(end) => answer(waiter, spec.id, end.clone(), actions),
-            None => job.waiters.push(waiter),
-        }
+        self.wait_for(waiter, key, spec.id, actions);
     }
 
-    fn get_here(&mut self, waiter: Waiter, id: Id, actions: &mut Vec<Action>) {
-        let Some(key) = self.by_id.get(&id) else {
-            return answer(waiter, id, Answer::Refused(not_found()), actions);
-        };
-        let job = &mut self.jobs[*key];
+    fn wait_for(&mut self, waiter: Waiter, key: Key, id: Id, actions: &mut Vec<Action>) {
+        let job = &mut self.jobs[key];
         match &job.answer {
             Some(end) => answer(waiter, id, end.clone(), actions),
+            None if job.waiters.len() >= self.bounds.waiters_per_job => {
+                let refusal = Refusal::new(
+                    Reason::TableFull,
+                    self.ran_so_far(key),
+                    "too many callers wait for this job; send the same id again later",
+                )
+                .with_retry_after_ms(1_000);
+                answer(waiter, id, Answer::Refused(refusal), actions);
+            }
             None => job.waiters.push(waiter),
         }
     }
 
-    fn trace_here(&self, waiter: Waiter, id: Id, actions: &mut Vec<Action>) {
-        match self.by_id.get(&id) {
-            Some(key) => {
-                let steps = self.jobs[*key].trace.clone();
-                actions.push(Action::Traced { waiter, id, steps });
-            }
-            None => answer(waiter, id, Answer::Refused(not_found()), actions),
+    /// Returns what can be said of a running job; that nothing ran can only be said at its end.
+    fn ran_so_far(&self, key: Key) -> Ran {
+        if self.jobs[key].started {
+            Ran::Yes
+        } else {
+            Ran::Unknown
         }
     }
 
-    fn cancel_here(&mut self, waiter: Waiter, id: Id, now: Now, actions: &mut Vec<Action>) {
-        if let Some(key) = self.by_id.get(&id).copied() {
-            if !self.jobs[key].is_ended() {
-                let refusal = Refusal::new(
-                    Reason::Cancelled,
-                    self.ran(key),
-                    "the job was cancelled; submit a new id to run it",
-                );
-                self.finish(key, Answer::Refused(refusal), now, actions);
-            }
-            return self.get_here(waiter, id, actions);
-        }
-        match self.admit(&id, now) {
-            Admission::Start => {
-                let refusal = Refusal::new(
-                    Reason::Cancelled,
-                    Ran::No,
-                    "the job was cancelled before it was submitted; submit a new id to run it",
-                );
-                self.tombstone(waiter, id, refusal, now, actions);
-            }
-            Admission::Wait => self.park(waiter, Question::Cancel(id), now),
-            Admission::Refuse(refusal) => answer(waiter, id, Answer::Refused(refusal), actions),
+    fn cancel(&mut self, key: Key, now: Now, actions: &mut Vec<Action>) {
+        if self.jobs[key].is_ended() {
+            return;
         }
+        let refusal = Refusal::new(
+            Reason::Cancelled,
+            self.ran(key),
+            "the job was cancelled; submit a new id to run it",
+        );
+        self.finish(key, Answer::Refused(refusal), now, actions);
     }
 
     /// Refuses ids whose creation time does not lie within the window.
-    fn check_created(&self, id: &Id, now: Now) -> Result<(), Refusal> {
+    pub(super) fn check_created(&self, id: &Id, now: Now) -> Result<(), Refusal> {
         let created = id.created();
         if created > now.wall.plus(self.timing.skew) {
             return Err(Refusal::new(
@@ -369,11 +419,10 @@
             spec,
         };
         job.note(now, step);
-        let open = job.open;
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
         self.deadlines.insert((deadline, key));
-        self.queue.extend((0..open).map(|index| (key, index)));
+        self.enqueue(key, now);
     }
 
     /// Remembers that nothing of the id ever starts, and says so.
