--- a/crates/agent/tests/stop.rs
+++ b/crates/agent/tests/stop.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::Duration;
 
-use ibisspool_standin::backend::{Backend, Faults};
+use ibisspool_standin::backend::Faults;
 use ibisspool_standin::caller::{self, Answer};
 use ibisspool_standin::local::{self, ECHO, Local, Shape};
 use serde_json::json;
@@ -48,7 +48,11 @@
 
 fn starts(local: &Local) -> HashMap<(String, u32), u32> {
     let mut starts = HashMap::new();
-    for start in local.backends.iter().flat_map(Backend::starts) {
+    for start in local
+        .backends
+        .iter()
+        .flat_map(ibisspool_standin::backend::Backend::starts)
+    {
         *starts.entry((start.job, start.index)).or_default() += 1;
     }
     starts
--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -157,6 +157,13 @@
         }
     }
 
+    /// Sets how many tasks may wait for each slot before further ones are declined.
+    #[must_use]
+    pub fn with_queue_per_slot(mut self, tasks: usize) -> Self {
+        self.queue_per_slot = tasks;
+        self
+    }
+
     /// Replaces the bounds of the ledger.
     #[must_use]
     pub fn with_bounds(mut self, bounds: Bounds) -> Self {
@@ -171,13 +178,6 @@
         self
     }
 
-    /// Sets how many tasks may wait for each slot before further ones are declined.
-    #[must_use]
-    pub fn with_queue_per_slot(mut self, tasks: usize) -> Self {
-        self.queue_per_slot = tasks;
-        self
-    }
-
     /// Decides on one event.
     pub fn handle(&mut self, event: Event, now: Now, actions: &mut Vec<Action>) {
         match event {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,6 +2,10 @@
 
 pub mod backend;
 pub mod caller;
+pub mod changes;
+pub mod data_centre;
 pub mod load;
 pub mod local;
+pub mod operator;
 pub mod platform;
+pub mod steady;
