--- a/crates/core/src/agent/orders.rs
+++ b/crates/core/src/agent/orders.rs
@@ -14,7 +14,7 @@
 impl Agent {
     pub(super) fn ordered(&mut self, link: u64, order: Order, now: Now, actions: &mut Vec<Action>) {
         let uses_agent =
-            asks_for_stamp(&order) || !order.dispatches.is_empty() || !order.queries.is_empty();
+            order.asks_for_stamp() || !order.dispatches.is_empty() || !order.queries.is_empty();
         if !order.entries.is_empty() {
             actions.push(Action::Attach {
                 entries: order.entries,
@@ -165,12 +165,3 @@
         run_us: 0,
     }
 }
-
-/// Returns whether the order carries nothing, with which an entry asks an idle agent for a stamp.
-fn asks_for_stamp(order: &Order) -> bool {
-    order.dispatches.is_empty()
-        && order.queries.is_empty()
-        && order.recalls.is_empty()
-        && order.entries.is_empty()
-        && order.acknowledged == 0
-}
