feat(core): hold limits over all entries and refuse early what cannot end in time

Cause: limits of kinds and owners were not applied, and at 150% load jobs timed out after their work was half done. Change: each entry uses its share of max_running and max_rate, the smaller one while an earlier set of members may still decide; tasks count until their agent says that they ended. Jobs are refused at submission as over_quota or cannot_end_in_time with Retry-After.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -5,6 +5,7 @@
 mod control;
 mod dispatch;
 mod fleet;
+mod load;
 pub mod operator;
 mod outcome;
 mod submit;
@@ -24,6 +25,7 @@
 use crate::frame::{Order, Report};
 use crate::job::{Answer, Id, Spec};
 use crate::lease::{Lease, Takeover};
+use crate::limits::Limits;
 use crate::placement::{Fleet, Policy};
 use crate::refusal::Retry;
 use crate::settings::{Bounds, Timing};
@@ -353,6 +355,7 @@
     jobs: SlotMap<JobKey, Job>,
     by_id: HashMap<Id, JobKey>,
     queue: Queue<JobKey>,
+    limits: Limits,
     forwards: HashMap<Waiter, Question>,
     parked: Vec<control::Parked>,
     inquiries: HashMap<Id, takeover::Inquiry>,
@@ -393,6 +396,7 @@
             jobs: SlotMap::with_key(),
             by_id: HashMap::new(),
             queue: Queue::new(),
+            limits: Limits::new(),
             forwards: HashMap::new(),
             parked: Vec::new(),
             inquiries: HashMap::new(),
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -10,6 +10,7 @@
 use crate::fair_queue::{FlowKey, Lane};
 use crate::frame::{Dispatch, Order};
 use crate::job::Task;
+use crate::limits::Places;
 use crate::placement::{Key, Wanted};
 use crate::time::{Mono, Now};
 
@@ -17,10 +18,10 @@
 const SHORT_TASKS: usize = 8;
 
 /// A job's rank is its arrival plus this many times its share of the fleet's time.
-const RANK_STRETCH: f64 = 10.0;
+pub(super) const RANK_STRETCH: f64 = 10.0;
 
 /// Waiting work, as time of the whole fleet, beyond which no slot is kept back.
-const PRESSURE_MS: f64 = 100.0;
+pub(super) const PRESSURE_MS: f64 = 100.0;
 
 /// Rest of a permit's life below which it is not used.
 const PERMIT_MARGIN: Duration = Duration::from_millis(100);
@@ -31,6 +32,7 @@
     basis: Mono,
     now: Now,
     pressed: bool,
+    places: Places,
     orders: BTreeMap<Key, Order>,
 }
 
@@ -93,10 +95,15 @@
             basis,
             now,
             pressed: self.backlog_ms() > PRESSURE_MS,
+            places: self.places(),
             orders: BTreeMap::new(),
         };
         let mut blocked: SmallVec<[FlowKey; 8]> = SmallVec::new();
         while let Some(flow) = self.queue.next(|flow, _| !blocked.contains(&flow)) {
+            if !self.allows(flow, &round) {
+                blocked.push(flow);
+                continue;
+            }
             match self.place(flow, &round, actions) {
                 Some(agent) => self.send(flow, agent, &mut round),
                 None => blocked.push(flow),
@@ -115,6 +122,15 @@
         Mono(now.mono.0.saturating_sub(rest.as_micros() as u64))
     }
 
+    fn allows(&mut self, flow: FlowKey, round: &Round) -> bool {
+        let Some(kind) = self.catalogue.kind(&self.queue.get(flow).kind) else {
+            return true;
+        };
+        let owner = self.catalogue.owner(&kind.owner);
+        self.limits
+            .allow(kind, owner, &round.places, round.now.mono)
+    }
+
     fn place(&mut self, flow: FlowKey, round: &Round, actions: &mut Vec<Action>) -> Option<Key> {
         let flow = self.queue.get(flow);
         let wanted = Wanted {
@@ -174,9 +190,9 @@
         let Round {
             basis, now, orders, ..
         } = round;
-        let (lane, work_ms) = {
+        let (lane, owner, work_ms) = {
             let flow = self.queue.get(flow);
-            (flow.lane, self.work_ms(&flow.kind))
+            (flow.lane, flow.owner.clone(), self.work_ms(&flow.kind))
         };
         let Some((job, index)) = self.queue.pop(flow, work_ms) else {
             return;
@@ -204,11 +220,13 @@
                 agent: agent.hello.agent.clone(),
             },
         );
+        let task = Task {
+            job: record.spec.id,
+            index,
+        };
+        self.limits.start(task, key, &record.spec.kind, &owner);
         order.dispatches.push(Dispatch {
-            task: Task {
-                job: record.spec.id,
-                index,
-            },
+            task,
             attempt,
             kind: record.spec.kind.clone(),
             input: record.spec.inputs[index as usize].clone(),
@@ -217,7 +235,7 @@
     }
 }
 
-fn lane(tasks: usize) -> Lane {
+pub(super) fn lane(tasks: usize) -> Lane {
     if tasks <= SHORT_TASKS {
         Lane::Short
     } else {
--- a/crates/core/src/entry/fleet.rs
+++ b/crates/core/src/entry/fleet.rs
@@ -126,6 +126,7 @@
                 actions,
             );
         }
+        self.limits.lose(key);
         self.fleet.remove(key);
         self.links.retain(|_link, other| *other != key);
     }
--- a/crates/core/src/entry/outcome.rs
+++ b/crates/core/src/entry/outcome.rs
@@ -35,6 +35,7 @@
             queue_us,
             run_us,
         } = outcome;
+        self.limits.end(task, key);
         if self.attempt(task, key) != Some(attempt) {
             return;
         }
--- a/crates/core/src/entry/submit.rs
+++ b/crates/core/src/entry/submit.rs
@@ -396,7 +396,7 @@
             )
             .with_retry_after_ms(1_000));
         }
-        Ok(())
+        self.check_load(spec)
     }
 
     fn accept(&mut self, waiter: Waiter, spec: Spec, now: Now) {
--- a/crates/core/src/fair_queue.rs
+++ b/crates/core/src/fair_queue.rs
@@ -231,6 +231,16 @@
         self.active.iter().map(|key| &self.flows[*key])
     }
 
+    /// Returns the owner's share of the service among the owners with waiting tasks and itself.
+    pub fn owner_share(&self, owner: &str) -> f64 {
+        let weight = |name: &str| self.accounts.get(name).map_or(1.0, |a| a.weight);
+        let mut names: Vec<&str> = self.backlog().map(|flow| flow.owner.as_str()).collect();
+        names.push(owner);
+        names.sort_unstable();
+        names.dedup();
+        weight(owner) / names.into_iter().map(weight).sum::<f64>()
+    }
+
     fn charge(&mut self, flow: FlowKey, cost_ms: f64) {
         let flow = &self.flows[flow];
         if let Some(account) = self.accounts.get_mut(&flow.owner) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod frame;
 pub mod job;
 pub mod lease;
+pub mod limits;
 pub mod placement;
 pub mod refusal;
 pub mod rendezvous;
