--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -507,6 +507,7 @@
             }
             Event::RowConflict => actions.push(Action::ReadRow),
             Event::CatalogueRead { version, catalogue } => {
+                self.catalogue_found(version, &catalogue, now, actions);
                 self.catalogue_read(version, catalogue);
             }
             Event::Operate { request, question } => {
@@ -521,12 +522,14 @@
         }
         self.advance_changes(now, actions);
         self.dispatch(now, actions);
+        self.acknowledge(actions);
     }
 
     fn tick(&mut self, now: Now, actions: &mut Vec<Action>) {
         self.tick_control(now, actions);
         self.tick_fleet(now, actions);
         self.recall_from_out_of_service(actions);
+        self.read_catalogue_again(now, actions);
         self.tick_jobs(now, actions);
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod lease;
 pub mod limits;
 pub mod placement;
+pub mod receipt;
 pub mod refusal;
 pub mod rendezvous;
 pub mod settings;
--- a/crates/core/src/placement/agent.rs
+++ b/crates/core/src/placement/agent.rs
@@ -7,6 +7,7 @@
 
 use super::estimate::{Mean, Work};
 use crate::frame::{Hello, Load};
+use crate::receipt::Receipt;
 use crate::time::Mono;
 
 /// Tasks that an agent may hold beyond its slots, enough to hide a round trip.
@@ -45,6 +46,8 @@
     pub unreported: u32,
     /// Highest epoch that it has seen.
     pub epoch: u64,
+    /// Outcomes received over the present connection.
+    pub receipt: Receipt,
     /// Number of the latest dispatch to it among all dispatches of this entry.
     pub turn: u64,
     /// When it was last asked for a report.
@@ -71,6 +74,7 @@
             outstanding: 0,
             unreported: 0,
             epoch: 0,
+            receipt: Receipt::new(),
             turn: 0,
             asked: None,
             refused_permit: None,
@@ -83,6 +87,11 @@
         }
     }
 
+    /// Returns whether the agent announces the kind and is not leaving.
+    pub fn serves(&self, kind: &str) -> bool {
+        !self.hello.leaving && self.hello.kinds.iter().any(|served| served == kind)
+    }
+
     /// Records a stamp received at `now`.
     pub fn record_stamp(&mut self, stamp: Mono, now: Mono) {
         if self.stamps.len() == STAMPS {
--- a/crates/core/src/placement/fleet.rs
+++ b/crates/core/src/placement/fleet.rs
@@ -95,7 +95,8 @@
         }
     }
 
-    /// Returns whether any agent in service serves the kind, be it cut off for the moment.
+    /// Returns whether any agent in service serves the kind, also one whose connection is lost
+    /// for the moment.
     pub fn serves<F>(&self, kind: &str, in_service: F) -> bool
     where
         F: Fn(&Agent) -> bool,
@@ -104,11 +105,10 @@
             let mut keys = ranking.open.iter().chain(&ranking.full);
             keys.any(|(_end, key)| in_service(&self.agents[*key]))
         });
-        reachable
-            || self.agents.values().any(|agent| {
-                let serves = agent.hello.kinds.iter().any(|k| k == kind);
-                serves && !agent.hello.leaving && in_service(agent)
-            })
+        reachable || {
+            let mut lost = self.agents.values().filter(|agent| agent.link.is_none());
+            lost.any(|agent| agent.serves(kind) && in_service(agent))
+        }
     }
 
     /// Returns whether an agent with room that has reported since `oldest` waits for a newer
