--- /dev/null
+++ b/crates/standin/src/children.rs
@@ -0,0 +1,128 @@
+//! The two binaries as processes of their own, started by a development tool that runs itself
+//! again. Linux only, as it reads `/proc`.
+
+use std::ffi::OsString;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::process::{Child, Command, Stdio};
+
+use anyhow::{Context, Result};
+
+/// First argument with which a tool runs itself again as one of the binaries.
+const AS_BINARY: &str = "as-binary";
+
+/// Clock ticks of a second in `/proc/PID/stat`.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// Fields of `/proc/PID/stat` after the name of the program: user and system time.
+const USER_TICKS: usize = 11;
+const SYSTEM_TICKS: usize = 12;
+
+/// Runs a binary if this process was started as one; returns its exit code.
+pub fn run_as_binary() -> Option<i32> {
+    let mut args = std::env::args_os().skip(1);
+    if args.next()? != AS_BINARY {
+        return None;
+    }
+    let args: Vec<OsString> = args.collect();
+    match args.first()?.to_str()? {
+        "ibisspool" => Some(ibisspool::cli::run(args)),
+        _ => Some(ibisspool_agent::cli::run(args)),
+    }
+}
+
+/// A running binary; it is killed when this is dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+/// What a process has used so far.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Usage {
+    /// Processor time in seconds.
+    pub cpu_s: f64,
+    /// Resident memory in bytes.
+    pub memory: f64,
+    /// Threads.
+    pub threads: f64,
+}
+
+impl Process {
+    /// Starts a binary with its arguments, without logs.
+    ///
+    /// # Errors
+    /// Fails if this program cannot be run again.
+    pub fn start(args: &[&str]) -> Result<Self> {
+        let program = std::env::current_exe().context("this program has no path")?;
+        let child = Command::new(program)
+            .arg(AS_BINARY)
+            .args(args)
+            .env("IBISSPOOL_LOG_LEVEL", "error")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .spawn()
+            .context("cannot run this program again")?;
+        Ok(Self { child })
+    }
+
+    /// Returns the number of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns what the process has used so far.
+    ///
+    /// # Errors
+    /// Fails if the process has ended.
+    pub fn usage(&self) -> Result<Usage> {
+        let folder = format!("/proc/{}", self.child.id());
+        let stat = std::fs::read_to_string(format!("{folder}/stat")).context("no such process")?;
+        let status = std::fs::read_to_string(format!("{folder}/status"))?;
+        let fields: Vec<&str> = stat
+            .rsplit(')')
+            .next()
+            .unwrap_or("")
+            .split_whitespace()
+            .collect();
+        let ticks = |field: usize| fields.get(field).and_then(|f| f.parse::<f64>().ok());
+        let cpu = ticks(USER_TICKS).unwrap_or(0.0) + ticks(SYSTEM_TICKS).unwrap_or(0.0);
+        let number = |name: &str| {
+            let line = status.lines().find_map(|line| line.strip_prefix(name));
+            line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok())
+                .unwrap_or(0.0)
+        };
+        Ok(Usage {
+            cpu_s: cpu / TICKS_PER_SECOND,
+            memory: number("VmRSS:") * 1_024.0,
+            threads: number("Threads:"),
+        })
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ended = self.child.kill();
+        let _ended = self.child.wait();
+    }
+}
+
+/// Returns a loopback address that is free now.
+///
+/// # Errors
+/// Fails if the system has no free port.
+pub fn free_address() -> Result<SocketAddr> {
+    Ok(TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()?)
+}
+
+/// Returns the bytes that the loopback device has carried so far, with all headers.
+///
+/// # Errors
+/// Fails if the system does not tell.
+pub fn loopback_bytes() -> Result<f64> {
+    let devices = std::fs::read_to_string("/proc/net/dev").context("no list of devices")?;
+    let line = devices
+        .lines()
+        .find_map(|line| line.trim().strip_prefix("lo:"));
+    let bytes = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+    bytes.context("no loopback device")
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,9 +3,11 @@
 pub mod backend;
 pub mod caller;
 pub mod changes;
+pub mod children;
 pub mod data_centre;
 pub mod load;
 pub mod local;
 pub mod operator;
 pub mod platform;
+pub mod slopes;
 pub mod steady;
