--- a/crates/core/src/entry/fleet.rs
+++ b/crates/core/src/entry/fleet.rs
@@ -113,12 +113,16 @@
         }
     }
 
-    /// Puts acknowledgements of outcomes into the orders that leave.
+    /// Puts acknowledgements of outcomes into the orders that leave, but for those that ask for a
+    /// stamp, which carry nothing.
     pub(super) fn acknowledge(&mut self, actions: &mut [Action]) {
         for action in actions {
             let Action::Order { link, order } = action else {
                 continue;
             };
+            if order.asks_for_stamp() {
+                continue;
+            }
             if let Some(key) = self.links.get(link) {
                 order.acknowledged = self.fleet.agents[*key].receipt.take();
             }
@@ -126,12 +130,18 @@
     }
 
     /// Sends an order to each agent whose acknowledgement no other order took along in time.
-    fn send_acknowledgements(&self, now: Now, actions: &mut Vec<Action>) {
-        for (key, agent) in &self.fleet.agents {
+    fn send_acknowledgements(&mut self, now: Now, actions: &mut Vec<Action>) {
+        let epoch = self.row.epoch;
+        for agent in self.fleet.agents.values_mut() {
             if let Some(link) = agent.link
                 && agent.receipt.is_due(agent.hello.leaving, now.mono)
             {
-                let order = self.order(key);
+                let order = Order {
+                    agent_incarnation: agent.incarnation,
+                    epoch,
+                    acknowledged: agent.receipt.take(),
+                    ..Order::default()
+                };
                 actions.push(Action::Order { link, order });
             }
         }
@@ -154,6 +164,7 @@
                 actions,
             );
         }
+        self.limits.lose(key);
         self.fleet.remove(key);
         self.links.retain(|_link, other| *other != key);
     }
