--- a/crates/core/src/frame.rs
+++ b/crates/core/src/frame.rs
@@ -115,6 +115,18 @@
     pub acknowledged: u64,
 }
 
+impl Order {
+    /// Returns whether the order carries nothing, with which an entry asks an idle agent for a
+    /// stamp.
+    pub fn asks_for_stamp(&self) -> bool {
+        self.dispatches.is_empty()
+            && self.queries.is_empty()
+            && self.recalls.is_empty()
+            && self.entries.is_empty()
+            && self.acknowledged == 0
+    }
+}
+
 /// One attempt, by its number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Attempt {
