--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -5,6 +5,7 @@
 mod control;
 mod dispatch;
 mod fleet;
+mod load;
 pub mod operator;
 mod outcome;
 mod submit;
@@ -24,6 +25,7 @@
 use crate::frame::{Order, Report};
 use crate::job::{Answer, Id, Spec};
 use crate::lease::{Lease, Takeover};
+use crate::limits::Limits;
 use crate::placement::{Fleet, Policy};
 use crate::refusal::Retry;
 use crate::settings::{Bounds, Timing};
@@ -353,6 +355,7 @@
     jobs: SlotMap<JobKey, Job>,
     by_id: HashMap<Id, JobKey>,
     queue: Queue<JobKey>,
+    limits: Limits,
     forwards: HashMap<Waiter, Question>,
     parked: Vec<control::Parked>,
     inquiries: HashMap<Id, takeover::Inquiry>,
@@ -393,6 +396,7 @@
             jobs: SlotMap::with_key(),
             by_id: HashMap::new(),
             queue: Queue::new(),
+            limits: Limits::new(),
             forwards: HashMap::new(),
             parked: Vec::new(),
             inquiries: HashMap::new(),
@@ -503,6 +507,7 @@
             }
             Event::RowConflict => actions.push(Action::ReadRow),
             Event::CatalogueRead { version, catalogue } => {
+                self.catalogue_found(version, &catalogue, now, actions);
                 self.catalogue_read(version, catalogue);
             }
             Event::Operate { request, question } => {
@@ -517,12 +522,14 @@
         }
         self.advance_changes(now, actions);
         self.dispatch(now, actions);
+        self.acknowledge(actions);
     }
 
     fn tick(&mut self, now: Now, actions: &mut Vec<Action>) {
         self.tick_control(now, actions);
         self.tick_fleet(now, actions);
         self.recall_from_out_of_service(actions);
+        self.read_catalogue_again(now, actions);
         self.tick_jobs(now, actions);
     }
 
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -1,6 +1,8 @@
 //! Dispatch of queued tasks to agents.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use smallvec::SmallVec;
 
@@ -8,6 +10,7 @@
 use crate::fair_queue::{FlowKey, Lane};
 use crate::frame::{Dispatch, Order};
 use crate::job::Task;
+use crate::limits::Places;
 use crate::placement::{Key, Wanted};
 use crate::time::{Mono, Now};
 
@@ -15,10 +18,13 @@
 const SHORT_TASKS: usize = 8;
 
 /// A job's rank is its arrival plus this many times its share of the fleet's time.
-const RANK_STRETCH: f64 = 10.0;
+pub(super) const RANK_STRETCH: f64 = 10.0;
 
 /// Waiting work, as time of the whole fleet, beyond which no slot is kept back.
-const PRESSURE_MS: f64 = 1_000.0;
+pub(super) const PRESSURE_MS: f64 = 100.0;
+
+/// Rest of a permit's life below which it is not used.
+const PERMIT_MARGIN: Duration = Duration::from_millis(100);
 
 /// One round of dispatches.
 #[derive(Debug)]
@@ -26,6 +32,7 @@
     basis: Mono,
     now: Now,
     pressed: bool,
+    places: Places,
     orders: BTreeMap<Key, Order>,
 }
 
@@ -88,10 +95,15 @@
             basis,
             now,
             pressed: self.backlog_ms() > PRESSURE_MS,
+            places: self.places(),
             orders: BTreeMap::new(),
         };
         let mut blocked: SmallVec<[FlowKey; 8]> = SmallVec::new();
         while let Some(flow) = self.queue.next(|flow, _| !blocked.contains(&flow)) {
+            if !self.allows(flow, &round) {
+                blocked.push(flow);
+                continue;
+            }
             match self.place(flow, &round, actions) {
                 Some(agent) => self.send(flow, agent, &mut round),
                 None => blocked.push(flow),
@@ -104,6 +116,21 @@
         }
     }
 
+    /// Returns the oldest receipt of a permit that does not lapse on its way to the agent.
+    fn oldest_permit(&self, now: Now) -> Mono {
+        let rest = self.timing.lease.saturating_sub(PERMIT_MARGIN);
+        Mono(now.mono.0.saturating_sub(rest.as_micros() as u64))
+    }
+
+    fn allows(&mut self, flow: FlowKey, round: &Round) -> bool {
+        let Some(kind) = self.catalogue.kind(&self.queue.get(flow).kind) else {
+            return true;
+        };
+        let owner = self.catalogue.owner(&kind.owner);
+        self.limits
+            .allow(kind, owner, &round.places, round.now.mono)
+    }
+
     fn place(&mut self, flow: FlowKey, round: &Round, actions: &mut Vec<Action>) -> Option<Key> {
         let flow = self.queue.get(flow);
         let wanted = Wanted {
@@ -112,28 +139,60 @@
             pressed: round.pressed,
         };
         let (epoch, basis) = (self.row.epoch, round.basis);
+        let oldest = self.oldest_permit(round.now);
+        let idle = Cell::new(None);
         let mut rng = self.rng.clone();
-        let chosen = self.fleet.choose(self.policy, wanted, &mut rng, |agent| {
-            self.in_service(agent)
-                && self.within_ramp(agent, round.now)
-                && agent.epoch <= epoch
-                && agent.has_fresh_permit(basis)
-        });
+        let chosen = self
+            .fleet
+            .choose(self.policy, wanted, &mut rng, |key, agent| {
+                if !self.in_service(agent)
+                    || !self.within_ramp(agent, round.now)
+                    || agent.epoch > epoch
+                {
+                    return false;
+                }
+                let permitted =
+                    agent.has_fresh_permit(basis) && agent.has_permit_since(basis, oldest);
+                if !permitted && idle.get().is_none() {
+                    idle.set(Some(key));
+                }
+                permitted
+            });
         self.rng = rng;
-        if chosen.is_none() && self.fleet.lacks_permit(basis) {
+        if let Some(key) = idle.get() {
+            self.ask_for_report(key, round.now, actions);
+        }
+        if chosen.is_none() && self.fleet.lacks_permit(basis, oldest) {
             self.hasten_beat(round.now, actions);
         }
         chosen
     }
 
+    /// Asks an agent that has reported too long ago for a new stamp.
+    fn ask_for_report(&mut self, key: Key, now: Now, actions: &mut Vec<Action>) {
+        let order = self.order(key);
+        let agent = &mut self.fleet.agents[key];
+        let silent = now.mono.since(agent.newest_stamp()) >= self.timing.report;
+        let asked = agent
+            .asked
+            .is_some_and(|at| now.mono.since(at) < self.timing.report);
+        if let Some(link) = agent.link
+            && silent
+            && !asked
+        {
+            agent.asked = Some(now.mono);
+            actions.push(Action::Order { link, order });
+        }
+    }
+
     /// Sends the first task of a flow to an agent.
     fn send(&mut self, flow: FlowKey, key: Key, round: &mut Round) {
         let Round {
             basis, now, orders, ..
         } = round;
-        let (lane, work_ms) = {
+        let (lane, owner, work_ms) = {
             let flow = self.queue.get(flow);
-            (flow.lane, self.work_ms(&flow.kind))
+            (flow.lane, flow.owner.clone(), self.work_ms(&flow.kind))
         };
         let Some((job, index)) = self.queue.pop(flow, work_ms) else {
             return;
@@ -161,11 +220,13 @@
                 agent: agent.hello.agent.clone(),
             },
         );
+        let task = Task {
+            job: record.spec.id,
+            index,
+        };
+        self.limits.start(task, key, &record.spec.kind, &owner);
         order.dispatches.push(Dispatch {
-            task: Task {
-                job: record.spec.id,
-                index,
-            },
+            task,
             attempt,
             kind: record.spec.kind.clone(),
             input: record.spec.inputs[index as usize].clone(),
@@ -174,7 +235,7 @@
     }
 }
 
-fn lane(tasks: usize) -> Lane {
+pub(super) fn lane(tasks: usize) -> Lane {
     if tasks <= SHORT_TASKS {
         Lane::Short
     } else {
--- a/crates/core/tests/network/entries.rs
+++ b/crates/core/tests/network/entries.rs
@@ -14,6 +14,9 @@
     Event, Input, KIND, Network, Output, Process, SECOND, State, WALL, Waiting, catalogue,
 };
 
+/// Time within which an inquiry must be answered, in microseconds.
+const INQUIRY_TIMEOUT: u64 = 900_000;
+
 impl Network {
     pub(super) fn member(&self, process: Process) -> Member {
         Member {
@@ -103,7 +106,9 @@
                 member,
                 epoch,
                 sent,
+                wall,
             } => {
+                self.compare_clocks(process, &member, sent, wall);
                 let sent = self.counted_from(process, sent);
                 Some(Happened::BeatAnswered {
                     member,
@@ -113,28 +118,29 @@
             }
             Input::Inquiry {
                 from,
+                call,
                 member,
                 id,
                 epoch,
             } => {
                 if member.incarnation != process.incarnation {
+                    self.post_findings(process, from, call, None);
                     return None;
                 }
-                let waiter = self.wait(Waiting::Inquiry { from, member, id });
+                let waiter = self.wait(Waiting::Inquiry { from, call });
                 Some(Happened::Inquired { waiter, id, epoch })
             }
-            Input::Findings {
-                member,
-                id,
-                findings,
-            } => Some(match findings {
-                Some(findings) => Happened::InquiryAnswered {
-                    member,
-                    id,
-                    findings,
-                },
-                None => Happened::InquiryLost { member, id },
-            }),
+            Input::InquiryAnswer { call, findings } => {
+                let (member, id) = self.inquiries.remove(&call)?;
+                Some(match findings {
+                    Some(findings) => Happened::InquiryAnswered {
+                        member,
+                        id,
+                        findings,
+                    },
+                    None => Happened::InquiryLost { member, id },
+                })
+            }
             Input::Question {
                 from,
                 call,
@@ -163,6 +169,48 @@
         }
     }
 
+    /// Compares the wall clocks as the edge does that got a heartbeat's answer.
+    fn compare_clocks(&mut self, process: Process, member: &Member, sent: Mono, wall: Wall) {
+        let now = self.clock(process.number);
+        let error = now.mono.since(sent) / 2;
+        let ahead_ms = wall.0.cast_signed() - now.wall.0.cast_signed() + error.as_millis() as i64;
+        let member = member.clone();
+        let compared = Happened::ClockCompared {
+            member,
+            ahead_ms,
+            error,
+        };
+        self.at(self.now, Event::To(process, Input::Entry(compared)));
+    }
+
+    fn inquire(&mut self, process: Process, to: Member, id: Id, epoch: u64) {
+        let Ok(target) = to.address.parse() else {
+            return;
+        };
+        self.next += 1;
+        let call = self.next;
+        self.inquiries.insert(call, (to.clone(), id));
+        self.log(process.number, "inquires", &(call, &to, id));
+        let inquiry = Input::Inquiry {
+            from: process,
+            call,
+            member: to,
+            id,
+            epoch,
+        };
+        self.post(process.number, target, None, &inquiry);
+        let lost = Input::InquiryAnswer {
+            call,
+            findings: None,
+        };
+        self.at(self.now + INQUIRY_TIMEOUT, Event::To(process, lost));
+    }
+
+    fn post_findings(&mut self, from: Process, to: Process, call: u64, findings: Option<Findings>) {
+        let answer = Input::InquiryAnswer { call, findings };
+        self.post(from.number, to.number, Some(to), &answer);
+    }
+
     fn counted_from(&self, process: Process, sent: Mono) -> Mono {
         if self.plan.mutant == Some(Mutant::LeaseFromAnswer) {
             return self.clock(process.number).mono;
@@ -194,23 +242,17 @@
                 };
                 self.post(process.number, number, None, &beat);
             }
-            Action::Inquire { to, id, epoch } => self.inquire(process, to, id, epoch),
-            Action::AnswerInquiry { waiter, findings } => {
-                if let Some(Waiting::Inquiry { from, member, id }) = self.waiting.remove(&waiter.0)
-                {
-                    let answer = Input::Findings {
-                        member,
-                        id,
-                        findings: Some(findings),
-                    };
-                    self.post(process.number, from.number, Some(from), &answer);
-                }
-            }
             Action::Forward {
                 waiter,
                 to,
                 question,
             } => self.forward(process, waiter, &to, question),
+            Action::Inquire { to, id, epoch } => self.inquire(process, to, id, epoch),
+            Action::AnswerInquiry { waiter, findings } => {
+                if let Some(Waiting::Inquiry { from, call }) = self.waiting.remove(&waiter.0) {
+                    self.post_findings(process, from, call, Some(findings));
+                }
+            }
             Action::Order { link, order } => self.send_order(process, link, order),
             Action::ReadRow => self.ask_table(process, None),
             Action::WriteRow { expect, row } => self.ask_table(process, Some((expect, row))),
@@ -246,48 +288,17 @@
 
     fn answer_beat(&mut self, process: Process, waiter: Waiter, epoch: u64) {
         if let Some(Waiting::Beat { from, member, sent }) = self.waiting.remove(&waiter.0) {
+            let wall = self.clock(process.number).wall;
             let answer = Input::BeatAnswer {
                 member,
                 epoch,
                 sent,
+                wall,
             };
             self.post(process.number, from.number, Some(from), &answer);
         }
     }
 
-    /// Sends an inquiry; the asker hears that it is lost unless an answer comes before.
-    fn inquire(&mut self, process: Process, to: Member, id: Id, epoch: u64) {
-        let Ok(number) = to.address.parse() else {
-            return;
-        };
-        if self.plan.mutant == Some(Mutant::MovedWithoutAsking) {
-            let findings = Some(Findings {
-                holds: false,
-                epoch,
-                clear: 0,
-            });
-            let released = Input::Findings {
-                member: to,
-                id,
-                findings,
-            };
-            return self.at(self.now, Event::To(process, released));
-        }
-        let inquiry = Input::Inquiry {
-            from: process,
-            member: to.clone(),
-            id,
-            epoch,
-        };
-        self.post(process.number, number, None, &inquiry);
-        let lost = Input::Findings {
-            member: to,
-            id,
-            findings: None,
-        };
-        self.at(self.now + SECOND, Event::To(process, lost));
-    }
-
     fn forward(&mut self, process: Process, waiter: Waiter, to: &Member, question: Question) {
         let Ok(target) = to.address.parse() else {
             return;
@@ -342,6 +353,13 @@
                 answer = None;
             }
         }
+        if let Some((_version, row)) = &mut answer
+            && self.plan.mutant == Some(Mutant::MovedWithoutAsking)
+        {
+            for past in &mut row.past {
+                past.ended = Wall(0);
+            }
+        }
         if self.rng.random_bool(self.hosts[from.number].table) {
             let at = self.now + self.delay();
             self.at(at, Event::To(from, Input::Table { sent, answer }));
@@ -353,7 +371,7 @@
             let made = self
                 .rng
                 .random_range(3 * SECOND..self.plan.end - 2 * SECOND);
-            let skew = self.rng.random_range(0..400);
+            let skew = self.rng.random_range(0..=self.plan.skew);
             let id = Id::new(Wall(WALL + skew + made / 1_000), self.rng.random());
             let tasks = self.rng.random_range(1..=4);
             let inputs = (0..tasks)
--- a/crates/core/tests/network/faults.rs
+++ b/crates/core/tests/network/faults.rs
@@ -17,6 +17,7 @@
             0..=2 => self.pause(number),
             3 if self.plan.crashes => self.crash(number),
             4 | 5 => self.cut(),
+            6..=9 if self.plan.partitions => self.cut(),
             6 if !self.links.is_empty() => self.break_any_link(),
             7 | 8 => self.trouble_table(),
             _ => {}
@@ -142,7 +143,7 @@
         let data_centre = *pick(&mut self.rng, &DATA_CENTRES);
         let now = Wall(super::WALL + self.now / 1_000);
         let (version, row) = &self.table;
-        let mut row = row.with_change("operator", now);
+        let mut row = row.with_operator_change("operator", now);
         if !row.data_centres_out.remove(data_centre) {
             row.data_centres_out.insert(data_centre.to_owned());
         }
--- a/crates/core/tests/network/network.rs
+++ b/crates/core/tests/network/network.rs
@@ -15,7 +15,7 @@
 use ibisspool_core::agent::{self, Agent};
 use ibisspool_core::catalogue::{Catalogue, Class, Kind};
 use ibisspool_core::control::{Member, Row};
-use ibisspool_core::entry::{self, Entry, Findings, Question};
+use ibisspool_core::entry::{self, Entry, Question};
 use ibisspool_core::frame::{Order, Report};
 use ibisspool_core::job::{Answer, Id, Spec};
 use ibisspool_core::time::{Mono, Now, Wall};
@@ -64,24 +64,25 @@
         epoch: u64,
         sent: Mono,
     },
-    /// The answer to a heartbeat.
+    /// The answer to a heartbeat, with the wall clock of who answered.
     BeatAnswer {
         member: Member,
         epoch: u64,
         sent: Mono,
+        wall: Wall,
     },
-    /// An inquiry of `from` about a job, meant for the incarnation of the member.
+    /// A question of `from` about its record of a job, meant for the incarnation of the member.
     Inquiry {
         from: Process,
+        call: u64,
         member: Member,
         id: Id,
         epoch: u64,
     },
     /// The answer to an inquiry, `None` if it is lost.
-    Findings {
-        member: Member,
-        id: Id,
-        findings: Option<Findings>,
+    InquiryAnswer {
+        call: u64,
+        findings: Option<entry::Findings>,
     },
     /// A forwarded question of another entry.
     Question {
@@ -193,12 +194,11 @@
         member: Member,
         sent: Mono,
     },
-    Inquiry {
+    Peer {
         from: Process,
-        member: Member,
-        id: Id,
+        call: u64,
     },
-    Peer {
+    Inquiry {
         from: Process,
         call: u64,
     },
@@ -235,6 +235,8 @@
     waiting: HashMap<u64, Waiting>,
     /// Forwarded questions in flight: the call, its process, its target and its waiter.
     calls: BTreeMap<u64, (Process, usize, entry::Waiter)>,
+    /// Inquiries in flight.
+    inquiries: BTreeMap<u64, (Member, Id)>,
     jobs: Vec<Spec>,
     checks: Checks,
     tail: Option<VecDeque<String>>,
@@ -242,7 +244,22 @@
 
 /// Runs one seed.
 pub fn run(seed: u64, mutant: Option<Mutant>, traced: bool) -> Outcome {
-    let mut network = Network::new(seed, mutant, traced);
+    finish(Network::new(seed, mutant, traced))
+}
+
+/// Runs one seed with the plan for a mistake but without it.
+#[allow(
+    dead_code,
+    reason = "only one of the tests that share this module needs it"
+)]
+pub fn control(seed: u64, mutant: Mutant) -> Outcome {
+    let mut network = Network::new(seed, Some(mutant), false);
+    network.plan.mutant = None;
+    network.plan.idempotent = false;
+    finish(network)
+}
+
+fn finish(mut network: Network) -> Outcome {
     network.populate();
     while network.checks.violation.is_none() {
         let Some(((now, _number), event)) = network.events.pop_first() else {
@@ -287,6 +304,7 @@
             table: (1, row),
             waiting: HashMap::new(),
             calls: BTreeMap::new(),
+            inquiries: BTreeMap::new(),
             jobs: Vec::new(),
             checks: Checks::default(),
             tail: traced.then(VecDeque::new),
@@ -300,7 +318,7 @@
                 incarnation: 0,
                 paused_until: 0,
                 mono: self.rng.random_range(0..100 * SECOND),
-                skew: self.rng.random_range(0..400),
+                skew: self.rng.random_range(0..=self.plan.skew),
                 table: 1.0,
             };
             self.hosts.push(host);
@@ -310,7 +328,7 @@
         self.plan_callers();
         let fault = self.rng.random_range(2 * SECOND..5 * SECOND);
         self.at(fault, Event::Fault);
-        for _change in 0..self.rng.random_range(0..=3) {
+        for _change in 0..self.rng.random_range(0..=self.plan.changes) {
             let at = self.rng.random_range(3 * SECOND..self.plan.end);
             self.at(at, Event::Operate);
         }
