--- a/crates/standin/src/local.rs
+++ b/crates/standin/src/local.rs
@@ -7,6 +7,7 @@
 use anyhow::{Result, bail};
 use ibisspool_core::catalogue::{Catalogue, Class, Kind, Owner};
 use ibisspool_core::control::Row;
+use ibisspool_core::entry::operator::{self, Status};
 use serde_json::json;
 
 use crate::backend::{self, Backend};
@@ -135,7 +136,7 @@
     fn wait_ready(&self) -> Result<()> {
         let deadline = Instant::now() + START_TIMEOUT;
         for url in self.entry_urls() {
-            while !is_ready(&url) {
+            while !(is_ready(&url) && present_backends(&url) == self.backends.len()) {
                 if Instant::now() > deadline {
                     bail!("the entry at {url} is not ready after {START_TIMEOUT:?}; see its log");
                 }
@@ -152,3 +153,16 @@
         .send()
         .is_ok_and(|response| response.is_success())
 }
+
+/// Returns how many announced backend servers an entry is connected to.
+fn present_backends(entry: &str) -> usize {
+    let answer = attohttpc::get(format!("{entry}/v1/status")).send();
+    let body = answer.and_then(attohttpc::Response::bytes);
+    let status = body
+        .ok()
+        .and_then(|body| serde_json::from_slice::<Status>(&body).ok());
+    status.map_or(0, |status| {
+        let present = |backend: &&operator::Backend| backend.connected && backend.slots > 0;
+        status.backends.iter().filter(present).count()
+    })
+}
