fix(agent): a queued task starts only at the epoch that dispatched it

Ruled out: relying on the entry's recall, which may be late on an old connection. Change: a queued task of an epoch below the highest seen is declined as old_epoch at its start. Shown by: agent::a_queued_task_of_an_older_epoch_does_not_start_under_a_newer_permit, red before, green after.

--- a/crates/core/src/agent/orders.rs
+++ b/crates/core/src/agent/orders.rs
@@ -49,6 +49,7 @@
             let waiting = Waiting {
                 link,
                 dispatch,
+                epoch: order.epoch,
                 since: now.mono,
             };
             self.take(waiting, old_epoch, now);
--- a/crates/core/src/agent/queue.rs
+++ b/crates/core/src/agent/queue.rs
@@ -19,6 +19,8 @@
     pub link: u64,
     /// The dispatch.
     pub dispatch: Dispatch,
+    /// Epoch of the order that brought it.
+    pub epoch: u64,
     /// When it arrived.
     pub since: Mono,
 }
--- a/crates/core/src/agent/run.rs
+++ b/crates/core/src/agent/run.rs
@@ -22,6 +22,10 @@
             let Some(waiting) = self.queue.pop() else {
                 return;
             };
+            if waiting.epoch < self.epoch {
+                self.decline(&waiting, NotStarted::OldEpoch, now);
+                continue;
+            }
             match self.permit_end(waiting.link) {
                 Some(expires) if now.mono <= expires => {
                     self.start(waiting, expires, now, actions);
--- a/crates/core/tests/agent.rs
+++ b/crates/core/tests/agent.rs
@@ -223,6 +223,27 @@
     assert!(outcomes(&ends[2]).contains(&(2, 2, 1, End::NotStarted(NotStarted::Stale))));
 }
 
+#[test]
+fn a_queued_task_of_an_older_epoch_does_not_start_under_a_newer_permit() {
+    let mut bench = bench(1, Bounds::default());
+    bench.dispatch(1, task(0), 1);
+    bench.dispatch(1, task(1), 1);
+    let (epoch, permit) = (6, Some(bench.now));
+    bench.order(
+        1,
+        Order {
+            epoch,
+            permit,
+            ..blank()
+        },
+    );
+
+    let end = bench.end(task(0), done());
+
+    assert!(starts(&end).is_empty());
+    assert!(outcomes(&end).contains(&(1, 1, 1, End::NotStarted(NotStarted::OldEpoch))));
+}
+
 #[test]
 fn an_order_for_another_incarnation_is_never_answered() {
     let mut bench = bench(1, Bounds::default());
