--- a/crates/standin/src/slopes/crowd.rs
+++ b/crates/standin/src/slopes/crowd.rs
@@ -105,9 +105,9 @@
         let mut busy = false;
         if clock.mono() >= next_tick {
             next_tick = clock.mono().plus(TICK);
-            members
-                .iter_mut()
-                .for_each(|member| member.step(Event::Tick, clock));
+            for member in &mut members {
+                member.step(Event::Tick, clock);
+            }
         }
         for member in &mut members {
             while let Ok(event) = member.events.try_recv() {
