perf(http): handle arrived requests in the thread that took them; wake up only while busy

Change: wake-up connections come eight at a time until half a second after the last request, else once a second; requests whose body has arrived are handled where they were taken.

--- a/crates/entry/src/responder.rs
+++ b/crates/entry/src/responder.rs
@@ -21,7 +21,7 @@
 use crate::metrics::Metrics;
 
 /// Threads that write answers; a caller that reads slowly holds one of them up.
-const THREADS: usize = 8;
+const THREADS: usize = 32;
 
 /// How a caller wants the answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -22,9 +22,6 @@
 /// A response whose body stands in memory.
 pub type Reply = Response<Cursor<Vec<u8>>>;
 
-/// Threads that handle requests whose body has arrived.
-const HANDLERS: usize = 4;
-
 /// Threads that read longer bodies and handle their requests; a slow body holds one of them up.
 const READERS: usize = 64;
 
@@ -70,30 +67,31 @@
 where
     F: Fn(Request) + Send + Sync + 'static,
 {
-    let (arrived, handled) = unbounded::<Request>();
-    let (arriving, read) = unbounded::<Request>();
-    let route = move |request: Request| {
-        let short = request
-            .body_length()
-            .is_some_and(|length| length <= READ_AHEAD);
-        let queue = if short || is_bodiless(&request) {
-            &arrived
-        } else {
-            &arriving
-        };
-        let _ended = queue.send(request);
-    };
-    let bound = listener::start(kernel, address, Arc::new(route))?;
     let handle = Arc::new(handle);
-    for queue in [vec![handled; HANDLERS], vec![read; READERS]].concat() {
-        let handle = Arc::clone(&handle);
+    let (arriving, read) = unbounded::<Request>();
+    for _thread in 0..READERS {
+        let (queue, handle) = (read.clone(), Arc::clone(&handle));
         kernel.spawn(Name::Http, move || {
             while let Ok(request) = queue.recv() {
                 handle(request);
             }
         });
     }
-    Ok(bound)
+    // A request whose body has arrived is handled in the thread that took it, which saves a wake-up.
+    let route = move |request: Request| {
+        if has_arrived(&request) {
+            return handle(request);
+        }
+        let _ended = arriving.send(request);
+    };
+    listener::start(kernel, address, Arc::new(route))
+}
+
+fn has_arrived(request: &Request) -> bool {
+    let short = request
+        .body_length()
+        .is_some_and(|length| length <= READ_AHEAD);
+    short || is_bodiless(request)
 }
 
 fn is_bodiless(request: &Request) -> bool {
--- a/crates/kernel/src/http/listener.rs
+++ b/crates/kernel/src/http/listener.rs
@@ -30,19 +30,27 @@
 /// Time without a byte after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Time between wake-up connections.
+/// Time between wake-up connections while requests arrive.
 const WAKE_EVERY: Duration = Duration::from_millis(25);
 
-/// Wake-up connections at once after requests have arrived, each of which serves one queued
-/// connection.
+/// Longest time between wake-up connections while no request arrives.
+const IDLE_WAKE_EVERY: Duration = Duration::from_secs(1);
+
+/// Wake-up connections at once while requests arrive; each serves one queued connection.
 const WAKES_WHEN_BUSY: u32 = 8;
 
+/// Rounds of wake-up connections after the last request.
+const BUSY_ROUNDS: u32 = 20;
+
 /// Time within which a wake-up connection must open.
 const WAKE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Length of a body that the library could not drop safely.
 const ABSURD_BYTES: usize = 1 << 30;
 
+/// Threads that take requests of one server and handle those that have arrived.
+const HANDLERS: usize = 4;
+
 /// Most headers of one request.
 const HEADERS: usize = 64;
 
@@ -74,55 +82,80 @@
         .context("cannot send without delay")?;
     let seen = Arc::new(AtomicU64::new(0));
     let counter = Arc::clone(&seen);
+    let waker = kernel.spawn(Name::Http, move || wake(wake_address(bound), &seen));
+    let waker = waker.thread().clone();
     let relay = move |request| {
         counter.fetch_add(1, Ordering::Relaxed);
+        waker.unpark();
         route(request);
     };
-    accept(kernel, Arc::new(listener), Arc::new(relay))?;
-    kernel.spawn(Name::Http, move || wake(wake_address(bound), &seen));
+    let route: Route = Arc::new(relay);
+    accept(kernel, &Arc::new(listener), &route)?;
     Ok(bound)
 }
 
-/// Opens wake-up connections for good: one each time, more after requests have arrived.
+/// Opens wake-up connections for good: several at a time until some time after the last request,
+/// one now and then otherwise.
 fn wake(target: SocketAddr, seen: &AtomicU64) {
     let mut before = 0;
+    let mut rounds = 0;
     loop {
         let now = seen.load(Ordering::Relaxed);
-        let count = if now == before { 1 } else { WAKES_WHEN_BUSY };
+        rounds = if now > before {
+            BUSY_ROUNDS
+        } else {
+            rounds.saturating_sub(1)
+        };
         before = now;
+        let count = if rounds > 0 { WAKES_WHEN_BUSY } else { 1 };
         for _wake in 0..count {
             let _refused = TcpStream::connect_timeout(&target, WAKE_TIMEOUT);
         }
-        thread::sleep(WAKE_EVERY);
+        if rounds > 0 {
+            thread::sleep(WAKE_EVERY);
+        } else {
+            thread::park_timeout(IDLE_WAKE_EVERY);
+        }
     }
 }
 
-/// Accepts connections in a thread; a failed server goes on with the connections that it has,
+/// Accepts connections and takes requests in threads; a failed server goes on with the connections that it has,
 /// and a new one takes over the listener.
-fn accept(kernel: &Kernel, listener: Arc<TcpListener>, route: Route) -> Result<()> {
+fn accept(kernel: &Kernel, listener: &Arc<TcpListener>, route: &Route) -> Result<()> {
     let own = listener.try_clone().context("cannot share the listener")?;
     let server = Server::from_listener(own, None).map_err(|error| anyhow!("{error}"))?;
-    let shared = kernel.clone();
-    kernel.spawn(Name::Http, move || {
-        loop {
-            match server.recv() {
-                Ok(request) if request.body_length() > Some(ABSURD_BYTES) => refuse_length(request),
-                Ok(request) if has_excess_headers(&request) => refuse_headers(request),
-                Ok(request) => route(request),
-                Err(error) => {
-                    log::warn!("http: The listener failed and is taken over: {error}.");
-                    thread::sleep(TAKE_OVER_PAUSE);
-                    if let Err(error) = accept(&shared, Arc::clone(&listener), Arc::clone(&route)) {
-                        log::error!("http: The listener could not be taken over: {error:#}.");
-                        return;
-                    }
+    let server = Arc::new(server);
+    for _thread in 0..HANDLERS {
+        let (server, shared) = (Arc::clone(&server), kernel.clone());
+        let (listener, route) = (Arc::clone(listener), Arc::clone(route));
+        kernel.spawn(Name::Http, move || {
+            while let Err(error) = take(&server, &route) {
+                log::warn!("http: The listener failed and is taken over: {error}.");
+                thread::sleep(TAKE_OVER_PAUSE);
+                if let Err(error) = accept(&shared, &listener, &route) {
+                    log::error!("http: The listener could not be taken over: {error:#}.");
+                    return;
                 }
             }
-        }
-    });
+        });
+    }
     Ok(())
 }
 
+/// Takes requests until the server's listener fails.
+fn take(server: &Server, route: &Route) -> std::io::Result<()> {
+    loop {
+        let request = server.recv()?;
+        if request.body_length() > Some(ABSURD_BYTES) {
+            refuse_length(request);
+        } else if has_excess_headers(&request) {
+            refuse_headers(request);
+        } else {
+            route(request);
+        }
+    }
+}
+
 fn refuse_length(request: Request) {
     log::warn!(
         "http: A request names a body of over {ABSURD_BYTES} bytes; its connection is kept."
--- a/crates/standin/examples/overhead.rs
+++ b/crates/standin/examples/overhead.rs
@@ -5,6 +5,7 @@
 
 use anyhow::{Result, ensure};
 use clap::Command;
+use crossbeam::channel::unbounded;
 use hdrhistogram::Histogram;
 use ibisspool_core::control::Member;
 use ibisspool_core::job::Id;
@@ -17,6 +18,9 @@
 
 const ENTRIES: [&str; 3] = ["north", "south", "south"];
 const SLOTS: u32 = 8;
+/// Pause before each message between threads, so that the other one sleeps.
+const PAUSE: Duration = Duration::from_millis(1);
+
 const TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Response times of one way to a backend server.
@@ -51,9 +55,33 @@
         record(&mut ways[2], || submit(&local, &other))?;
     }
     print(&ways);
+    let hop = thread_hop(rounds)?;
+    println!("a message from one thread to another that sleeps: p50 {hop:.3} ms");
     Ok(())
 }
 
+/// Measures half a round trip between two threads that sleep until a message comes.
+fn thread_hop(rounds: u64) -> Result<f64> {
+    let (ask, asked) = unbounded::<()>();
+    let (answer, answered) = unbounded::<()>();
+    std::thread::spawn(move || {
+        while asked.recv().is_ok() {
+            if answer.send(()).is_err() {
+                return;
+            }
+        }
+    });
+    let mut way = new_way("threads")?;
+    for _round in 0..rounds {
+        std::thread::sleep(PAUSE);
+        record(&mut way, || {
+            ask.send(())?;
+            Ok(answered.recv()?)
+        })?;
+    }
+    Ok(way.micros.value_at_quantile(0.5) as f64 / 2_000.0)
+}
+
 fn new_way(name: &'static str) -> Result<Way> {
     Ok(Way {
         name,
