fix(entry): ticks go on under load

Cause: the decider waited for its next tick only when its mailbox was empty, so that messages that never cease held up heartbeats, timeouts and reads of the control row. Change: one loop for both deciders in the kernel; a due tick comes before waiting messages. Shown by: pulse::messages_that_never_cease_do_not_hold_up_ticks; with the former order it counts no tick at all.

--- a/crates/agent/src/decider.rs
+++ b/crates/agent/src/decider.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use crossbeam::channel::{Receiver, Sender};
 use ibisspool_core::agent::{Action, Agent, Event};
 use ibisspool_kernel::clock::Clock;
+use ibisspool_kernel::pulse::{Next, Pulse};
 
 use crate::links::Links;
 use crate::metrics::Metrics;
@@ -33,21 +34,16 @@
 impl Decider {
     /// Decides until the agent is drained after a stop, or every sender is gone.
     pub fn run(mut self, events: &Receiver<Event>) {
-        let mut next_tick = self.clock.mono();
+        let mut pulse = Pulse::new(TICK, self.clock.mono());
         let mut stopping = false;
         loop {
-            let now = self.clock.mono();
-            if next_tick <= now {
-                next_tick = now.plus(TICK);
-                self.step(Event::Tick);
-            }
-            match events.recv_timeout(next_tick.since(now)) {
-                Ok(event) => {
+            match pulse.next(events, || self.clock.mono()) {
+                Next::Tick => self.step(Event::Tick),
+                Next::Message(event) => {
                     stopping |= matches!(event, Event::Stop);
                     self.step(event);
                 }
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return,
+                Next::Ended => return,
             }
             if stopping && self.agent.is_drained() {
                 return;
--- a/crates/entry/src/decider.rs
+++ b/crates/entry/src/decider.rs
@@ -4,9 +4,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use crossbeam::channel::{Receiver, Sender};
 use ibisspool_core::entry::{Action, Entry, Event};
 use ibisspool_kernel::clock::Clock;
+use ibisspool_kernel::pulse::{Next, Pulse};
 
 use crate::metrics::Metrics;
 use crate::operator::Desk;
@@ -41,18 +42,13 @@
 impl Decider {
     /// Decides until the entry is drained after a stop, or every sender is gone.
     pub fn run(mut self, events: &Receiver<Event>) {
-        let mut next_tick = self.clock.mono();
+        let mut pulse = Pulse::new(TICK, self.clock.mono());
         loop {
-            let rest = next_tick.since(self.clock.mono());
-            let event = match events.recv_timeout(rest) {
-                Ok(event) => event,
-                Err(RecvTimeoutError::Timeout) => {
-                    next_tick = self.clock.mono().plus(TICK);
-                    Event::Tick
-                }
-                Err(RecvTimeoutError::Disconnected) => return,
-            };
-            self.step(event);
+            match pulse.next(events, || self.clock.mono()) {
+                Next::Tick => self.step(Event::Tick),
+                Next::Message(event) => self.step(event),
+                Next::Ended => return,
+            }
             if self.entry.is_drained() && self.waiters.is_empty() && self.operators.is_empty() {
                 return;
             }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod http;
 pub mod log;
 pub mod part;
+pub mod pulse;
 pub mod settings;
 pub mod signal;
