--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod changes;
 pub mod children;
 pub mod data_centre;
+pub mod faults;
+pub mod history;
 pub mod load;
 pub mod local;
 pub mod operator;
