fix(core): entries replaced one after another go on taking jobs

Cause: an entry that joins watches the leases of all epochs in the row. Once every member of one of them had been replaced, its blocking set could never answer, and for the store grace of 10 min every new id of that entry ended as history_lost. Ruled out: the barrier by creation time (correct, but never set), a stuck inquiry. Change: heartbeats' answers tell the highest epoch below which no lease can be held; that stays true once it is, so an entry that joins takes it over. Also: metrics registry and the course of a process stand once, in the kernel; events and actions of an entry have files of their own.

--- a/crates/agent/src/cli.rs
+++ b/crates/agent/src/cli.rs
@@ -3,14 +3,11 @@
 use std::ffi::OsString;
 
 use clap::{Arg, ArgAction, ArgMatches, Command};
-use ibisspool_kernel::{log as logs, settings as kernel_settings};
+use ibisspool_kernel::run;
 
 use crate::serve;
 use crate::settings::Settings;
 
-/// Exit code for a process that could not start or go on.
-const FAILED: i32 = 1;
-
 /// Returns the command line.
 pub fn command() -> Command {
     let command = Command::new("ibisspool-agent")
@@ -40,23 +37,10 @@
 }
 
 fn run_agent(matches: &ArgMatches) -> i32 {
-    let settings = match Settings::read(matches) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("error: {error}");
-            return kernel_settings::INVALID;
-        }
-    };
-    if matches.get_flag("check") {
-        println!("The settings are valid.");
-        return 0;
-    }
-    logs::start(settings.log_format, &settings.log_level);
-    match serve::run(&settings) {
-        Ok(()) => 0,
-        Err(error) => {
-            log::error!("serve: {error:#}.");
-            FAILED
-        }
-    }
+    run::run(
+        Settings::read(matches),
+        matches.get_flag("check"),
+        |settings| (settings.log_format, &settings.log_level),
+        serve::run,
+    )
 }
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -1,13 +1,14 @@
 //! Counters of an agent, in the text form of Prometheus.
 
 use ibisspool_core::frame::{End, NotStarted};
-use prometheus::{Encoder, Gauge, IntCounter, IntCounterVec, Opts, Registry, TextEncoder};
+use ibisspool_kernel::metrics as kernel;
+use prometheus::{Gauge, IntCounter, IntCounterVec};
 use strum::IntoEnumIterator;
 
 /// All metrics of one agent.
 #[derive(Debug, Clone)]
 pub struct Metrics {
-    registry: Registry,
+    registry: kernel::Metrics,
     /// Tasks started.
     pub starts: IntCounter,
     /// Ends of tasks: done, failed, unknown.
@@ -32,51 +33,29 @@
     /// # Panics
     /// Panics if two metrics share a name, which is a mistake in this file.
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let counter = |name: &str, help: &str| {
-            let counter = IntCounter::new(name, help).expect("the name is valid");
-            registry
-                .register(Box::new(counter.clone()))
-                .expect("the name is unique");
-            counter
-        };
-        let gauge = |name: &str, help: &str| {
-            let gauge = Gauge::new(name, help).expect("the name is valid");
-            registry
-                .register(Box::new(gauge.clone()))
-                .expect("the name is unique");
-            gauge
-        };
-        let family = |name: &str, help: &str, label: &str| {
-            let family =
-                IntCounterVec::new(Opts::new(name, help), &[label]).expect("the name is valid");
-            registry
-                .register(Box::new(family.clone()))
-                .expect("the name is unique");
-            family
-        };
+        let registry = kernel::Metrics::new();
         let metrics = Self {
-            starts: counter("ibisspool_agent_starts_total", "Tasks started"),
-            ends: family("ibisspool_agent_ends_total", "Ends of tasks", "end"),
-            not_started: family(
+            starts: registry.counter("ibisspool_agent_starts_total", "Tasks started"),
+            ends: registry.family("ibisspool_agent_ends_total", "Ends of tasks", "end"),
+            not_started: registry.family(
                 "ibisspool_agent_not_started_total",
                 "Dispatches not started",
                 "reason",
             ),
-            foreign: counter(
+            foreign: registry.counter(
                 "ibisspool_agent_foreign_total",
                 "Orders for another incarnation",
             ),
-            malformed: counter(
+            malformed: registry.counter(
                 "ibisspool_agent_malformed_total",
                 "Messages that could not be decoded",
             ),
-            crossed: counter(
+            crossed: registry.counter(
                 "ibisspool_agent_crossed_total",
                 "Answers that belong to another task",
             ),
-            records: gauge("ibisspool_agent_records", "Tasks in the ledger"),
-            output_bytes: gauge(
+            records: registry.gauge("ibisspool_agent_records", "Tasks in the ledger"),
+            output_bytes: registry.gauge(
                 "ibisspool_agent_output_bytes",
                 "Bytes of outputs in the ledger",
             ),
@@ -109,10 +88,7 @@
 
     /// Returns all metrics as text.
     pub fn text(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        debug_assert!(encoded.is_ok(), "metrics of this program can be encoded");
-        text
+        self.registry.text()
     }
 }
 
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -2,8 +2,10 @@
 //!
 //! [`Entry::handle`] takes an event and the present time and appends the actions to carry out.
 
+mod action;
 mod control;
 mod dispatch;
+mod event;
 mod fleet;
 mod load;
 pub mod operator;
@@ -13,7 +15,6 @@
 mod trace;
 
 use std::collections::{BTreeSet, HashMap};
-use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -22,320 +23,20 @@
 use crate::catalogue::Catalogue;
 use crate::control::{Member, Row};
 use crate::fair_queue::Queue;
-use crate::frame::{Order, Report};
-use crate::job::{Answer, Id, Spec};
+use crate::job::Id;
 use crate::lease::{Lease, Takeover};
 use crate::limits::Limits;
 use crate::placement::{Fleet, Policy};
-use crate::refusal::Retry;
 use crate::settings::{Bounds, Timing};
 use crate::skew::Clocks;
 use crate::time::{Mono, Now};
 
+pub use action::{Action, Question};
+pub use event::{Event, Origin, Waiter};
 pub use submit::{Job, Key as JobKey, TaskState};
 pub use takeover::Findings;
 pub use trace::{Step, StepKind};
 
-/// A caller that waits for an answer; the edge that took the request chose the number.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Waiter(pub u64);
-
-/// Where a submission comes from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Origin {
-    /// From a caller who made the id.
-    Caller,
-    /// From a caller who leaves the id to this entry; the id in the job is replaced.
-    NewId,
-    /// From another entry; it is not forwarded again.
-    Forwarded,
-}
-
-/// Something that happened.
-#[derive(Debug, Clone)]
-pub enum Event {
-    /// A caller or another entry submits a job.
-    Submit {
-        /// Who waits for the answer.
-        waiter: Waiter,
-        /// The job.
-        spec: Spec,
-        /// Where it comes from.
-        origin: Origin,
-    },
-    /// A caller asks for the answer of a job.
-    Get {
-        /// Who waits for the answer.
-        waiter: Waiter,
-        /// The job.
-        id: Id,
-        /// Whether another entry forwarded the question.
-        forwarded: bool,
-    },
-    /// A caller cancels a job.
-    Cancel {
-        /// Who waits for the answer.
-        waiter: Waiter,
-        /// The job.
-        id: Id,
-        /// Whether another entry forwarded the question.
-        forwarded: bool,
-    },
-    /// A caller asks what happened to a job.
-    Trace {
-        /// Who waits for the answer.
-        waiter: Waiter,
-        /// The job.
-        id: Id,
-        /// Whether another entry forwarded the question.
-        forwarded: bool,
-    },
-    /// A forwarded question was answered, and the edge passed the answer on.
-    ForwardAnswered {
-        /// Who waited for the answer.
-        waiter: Waiter,
-    },
-    /// A forwarded question was not answered.
-    ForwardLost {
-        /// Who waits for the answer.
-        waiter: Waiter,
-    },
-    /// An agent reported over a connection.
-    Reported {
-        /// Number of the connection, never used twice.
-        link: u64,
-        /// The report.
-        report: Report,
-    },
-    /// A connection of an agent closed.
-    Detached {
-        /// Number of the connection.
-        link: u64,
-    },
-    /// A heartbeat of another entry arrived.
-    Beat {
-        /// Who waits for the answer.
-        waiter: Waiter,
-        /// Epoch of the sender.
-        epoch: u64,
-    },
-    /// Another entry answered a heartbeat.
-    BeatAnswered {
-        /// The entry and incarnation that was asked.
-        member: Member,
-        /// Its epoch.
-        epoch: u64,
-        /// When the heartbeat was sent.
-        sent: Mono,
-    },
-    /// Another entry asks whether this one has a record of a job.
-    Inquired {
-        /// Who waits for the answer.
-        waiter: Waiter,
-        /// The job.
-        id: Id,
-        /// Epoch of the sender.
-        epoch: u64,
-    },
-    /// Another entry said whether it has a record of a job.
-    InquiryAnswered {
-        /// The entry and incarnation that was asked.
-        member: Member,
-        /// The job.
-        id: Id,
-        /// What it said.
-        findings: Findings,
-    },
-    /// Another entry did not say whether it has a record of a job.
-    InquiryLost {
-        /// The entry and incarnation that was asked.
-        member: Member,
-        /// The job.
-        id: Id,
-    },
-    /// A heartbeat's answer showed the wall clock of another entry.
-    ClockCompared {
-        /// The entry and incarnation that answered.
-        member: Member,
-        /// How far its clock is ahead of this entry's, in milliseconds.
-        ahead_ms: i64,
-        /// How far off that may be.
-        error: Duration,
-    },
-    /// The control row was read.
-    RowRead {
-        /// When the read was sent.
-        sent: Mono,
-        /// Version of the row in the table; 0 if there is none.
-        version: u64,
-        /// The row.
-        row: Row,
-    },
-    /// A write of the row found another version.
-    RowConflict,
-    /// The catalogue of a version was read.
-    CatalogueRead {
-        /// Its version.
-        version: u64,
-        /// Its entries.
-        catalogue: Catalogue,
-    },
-    /// An operator asks for a change or a view.
-    Operate {
-        /// Number of the operator's request, chosen by the edge.
-        request: operator::Request,
-        /// What is asked.
-        question: operator::Question,
-    },
-    /// The catalogue of a version was written.
-    CatalogueWritten {
-        /// Its version.
-        version: u64,
-    },
-    /// The catalogue of a version exists already; another operator's change wrote it.
-    CatalogueTaken {
-        /// The version.
-        version: u64,
-    },
-    /// The process was asked to stop.
-    Stop,
-    /// Time passed.
-    Tick,
-}
-
-/// Something to carry out.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Action {
-    /// Answer a caller with the end of a job.
-    Answer {
-        /// Who waits.
-        waiter: Waiter,
-        /// The job.
-        id: Id,
-        /// Its end.
-        answer: Answer,
-    },
-    /// Answer a caller with what happened to a job.
-    Traced {
-        /// Who waits.
-        waiter: Waiter,
-        /// The job.
-        id: Id,
-        /// The steps, oldest first.
-        steps: Vec<Step>,
-    },
-    /// Pass a caller's request on to the job's coordinator.
-    Forward {
-        /// Who waits.
-        waiter: Waiter,
-        /// The coordinator.
-        to: Member,
-        /// What to pass on.
-        question: Question,
-    },
-    /// Send an order to an agent.
-    Order {
-        /// Number of the connection.
-        link: u64,
-        /// The order.
-        order: Order,
-    },
-    /// Tell another entry that it is not the coordinator who got its question.
-    Misdirected {
-        /// Who waits.
-        waiter: Waiter,
-    },
-    /// Answer a heartbeat.
-    AnswerBeat {
-        /// Who waits.
-        waiter: Waiter,
-        /// Epoch of this entry.
-        epoch: u64,
-    },
-    /// Send a heartbeat to another entry.
-    Beat {
-        /// The entry.
-        to: Member,
-        /// Epoch of this entry.
-        epoch: u64,
-    },
-    /// Ask another entry whether it has a record of a job.
-    Inquire {
-        /// The entry.
-        to: Member,
-        /// The job.
-        id: Id,
-        /// Epoch of this entry.
-        epoch: u64,
-    },
-    /// Tell another entry whether this one has a record of a job.
-    AnswerInquiry {
-        /// Who waits.
-        waiter: Waiter,
-        /// What this entry knows.
-        findings: Findings,
-    },
-    /// Report that the wall clock went out of agreement with those of the other entries, which
-    /// costs the lease, or came back.
-    ClockApart {
-        /// Whether it is out of agreement.
-        apart: bool,
-    },
-    /// Read the control row.
-    ReadRow,
-    /// Write the control row if its version is still `expect`.
-    WriteRow {
-        /// Version that the write replaces; 0 if there is no row yet.
-        expect: u64,
-        /// The new row.
-        row: Row,
-    },
-    /// Read the catalogue of a version.
-    ReadCatalogue {
-        /// The version.
-        version: u64,
-    },
-    /// Write the catalogue of a version that must not exist yet.
-    WriteCatalogue {
-        /// The version.
-        version: u64,
-        /// Its entries.
-        catalogue: Catalogue,
-    },
-    /// Answer an operator.
-    Tell {
-        /// Number of the operator's request.
-        request: operator::Request,
-        /// The answer.
-        answer: operator::Answer,
-    },
-    /// Count a task that is dispatched again.
-    Retried(Retry),
-}
-
-/// A caller's request to the coordinator of a job.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Question {
-    /// Submit or join a job.
-    Submit(Spec),
-    /// Wait for the end of a job.
-    Get(Id),
-    /// Cancel a job.
-    Cancel(Id),
-    /// Tell what happened to a job.
-    Trace(Id),
-}
-
-impl Question {
-    /// Returns the job that the question is about.
-    pub fn id(&self) -> Id {
-        match self {
-            Self::Submit(spec) => spec.id,
-            Self::Get(id) | Self::Cancel(id) | Self::Trace(id) => *id,
-        }
-    }
-}
-
 /// State of an entry.
 #[derive(Debug, Clone)]
 pub struct Entry {
@@ -501,6 +202,7 @@
                     .record(&member.name, ahead_ms, error, &self.timing, now.mono);
                 self.compare_clocks(now, actions);
             }
+            Event::Lapsed { below } => self.lapsed(below, now),
             Event::RowRead { sent, version, row } => {
                 self.row_read(sent, version, row, now, actions);
                 self.services_changed(now, actions);
@@ -558,6 +260,11 @@
         self.released && self.forwards.is_empty() && self.jobs.values().all(Job::is_ended)
     }
 
+    /// Returns the highest epoch below which no entry can hold a lease any more.
+    pub fn lapsed_below(&self) -> u64 {
+        self.takeover.lapsed_below(self.row.epoch)
+    }
+
     /// Returns the control row that this entry has adopted.
     pub fn row(&self) -> &Row {
         &self.row
--- a/crates/core/src/entry/takeover.rs
+++ b/crates/core/src/entry/takeover.rs
@@ -172,9 +172,20 @@
 
     /// Drops the earlier epochs whose leases have lapsed, and notes when that was.
     pub(super) fn settle_takeover(&mut self, now: Now) {
-        if !self.takeover.settle(&self.timing, now.mono) {
-            return;
+        if self.takeover.settle(&self.timing, now.mono) {
+            self.note_lapsed(now);
+        }
+    }
+
+    /// Takes over what another entry knows of earlier epochs. An entry that joined after several
+    /// replacements could not learn it by itself: the members of those epochs are gone.
+    pub(super) fn lapsed(&mut self, below: u64, now: Now) {
+        if self.takeover.learn(below) {
+            self.note_lapsed(now);
         }
+    }
+
+    fn note_lapsed(&mut self, now: Now) {
         let lowest = self.takeover.leasable().map(|row| row.epoch).min();
         for past in &self.row.past {
             if lowest.is_none_or(|lowest| past.epoch < lowest) {
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -150,6 +150,23 @@
         self.pending.len() < before
     }
 
+    /// Returns the highest epoch below which no entry can hold a lease; `epoch` is the present one.
+    pub fn lapsed_below(&self, epoch: u64) -> u64 {
+        let firsts = self.pending.iter().map(|pending| pending.first);
+        firsts.min().unwrap_or(epoch)
+    }
+
+    /// Takes over from another entry that no lease below the epoch can be held any more, which
+    /// stays true once it is; returns whether that ends the watch of any epoch.
+    pub fn learn(&mut self, below: u64) -> bool {
+        let before = self.pending.len();
+        self.pending.retain(|pending| pending.before.epoch >= below);
+        for pending in &mut self.pending {
+            pending.first = pending.first.max(below);
+        }
+        self.pending.len() < before
+    }
+
     /// Returns whether no entry can hold a lease of an epoch below `epoch`.
     pub fn in_force(&self, epoch: u64) -> bool {
         self.pending.iter().all(|pending| pending.first >= epoch)
--- a/crates/core/tests/network/entries.rs
+++ b/crates/core/tests/network/entries.rs
@@ -107,7 +107,10 @@
                 epoch,
                 sent,
                 wall,
+                below,
             } => {
+                let lapsed = Input::Entry(Happened::Lapsed { below });
+                self.at(self.now, Event::To(process, lapsed));
                 self.compare_clocks(process, &member, sent, wall);
                 let sent = self.counted_from(process, sent);
                 Some(Happened::BeatAnswered {
@@ -289,11 +292,16 @@
     fn answer_beat(&mut self, process: Process, waiter: Waiter, epoch: u64) {
         if let Some(Waiting::Beat { from, member, sent }) = self.waiting.remove(&waiter.0) {
             let wall = self.clock(process.number).wall;
+            let below = match &self.hosts[process.number].state {
+                State::Entry(entry) => entry.lapsed_below(),
+                _ => 0,
+            };
             let answer = Input::BeatAnswer {
                 member,
                 epoch,
                 sent,
                 wall,
+                below,
             };
             self.post(process.number, from.number, Some(from), &answer);
         }
--- a/crates/core/tests/network/network.rs
+++ b/crates/core/tests/network/network.rs
@@ -70,6 +70,7 @@
         epoch: u64,
         sent: Mono,
         wall: Wall,
+        below: u64,
     },
     /// A question of `from` about its record of a job, meant for the incarnation of the member.
     Inquiry {
--- a/crates/core/tests/takeover.rs
+++ b/crates/core/tests/takeover.rs
@@ -278,3 +278,22 @@
         Some(("id_too_old".to_owned(), "unknown".to_owned()))
     );
 }
+
+#[test]
+fn entries_replaced_one_after_another_still_take_new_jobs() {
+    let mut cluster = cluster(&["a", "b", "c"]);
+    let mut last = 0;
+    for (number, name) in ["a", "b", "c"].into_iter().enumerate() {
+        cluster.run(3_000);
+        cluster.nodes[number].process = Process::Dead;
+        cluster.run(2_000);
+        last = cluster.join(name, 2);
+    }
+
+    cluster.run(5_000);
+    let id = cluster.id_of(last, 0);
+    cluster.submit(last, id);
+    cluster.run(1_000);
+
+    assert_eq!(cluster.starts(id), [last]);
+}
--- a/crates/entry/src/decider.rs
+++ b/crates/entry/src/decider.rs
@@ -61,6 +61,7 @@
         self.entry.handle(event, now, &mut actions);
         self.ready
             .store(self.entry.is_ready(now), Ordering::Relaxed);
+        self.peers.set_lapsed_below(self.entry.lapsed_below());
         for action in actions {
             self.carry_out(action);
         }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,22 +1,14 @@
 //! Counters and histograms of an entry, in the text form of Prometheus.
 
 use ibisspool_core::refusal::{Reason, Retry};
-use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
-    exponential_buckets,
-};
+use ibisspool_kernel::metrics as kernel;
+use prometheus::{Histogram, IntCounter, IntCounterVec};
 use strum::IntoEnumIterator;
 
-/// First bucket of the histograms in seconds.
-const FIRST_BUCKET: f64 = 0.000_5;
-
-/// Buckets of the histograms, each twice as wide as the one before.
-const BUCKETS: usize = 18;
-
 /// All metrics of one entry.
 #[derive(Debug, Clone)]
 pub struct Metrics {
-    registry: Registry,
+    registry: kernel::Metrics,
     /// Refusals by reason.
     pub refusals: IntCounterVec,
     /// Tasks dispatched again, by reason.
@@ -45,60 +37,37 @@
     /// # Panics
     /// Panics if two metrics share a name, which is a mistake in this file.
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let counter = |name: &str, help: &str| {
-            let counter = IntCounter::new(name, help).expect("the name is valid");
-            registry
-                .register(Box::new(counter.clone()))
-                .expect("the name is unique");
-            counter
-        };
-        let family = |name: &str, help: &str, label: &str| {
-            let family =
-                IntCounterVec::new(Opts::new(name, help), &[label]).expect("the name is valid");
-            registry
-                .register(Box::new(family.clone()))
-                .expect("the name is unique");
-            family
-        };
-        let histogram = |name: &str, help: &str| {
-            let buckets = exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS).expect("valid buckets");
-            let options = HistogramOpts::new(name, help).buckets(buckets);
-            let histogram = Histogram::with_opts(options).expect("the name is valid");
-            registry
-                .register(Box::new(histogram.clone()))
-                .expect("the name is unique");
-            histogram
-        };
+        let registry = kernel::Metrics::new();
         let metrics = Self {
-            refusals: family("ibisspool_refusals_total", "Refusals by reason", "reason"),
-            retries: family(
+            refusals: registry.family("ibisspool_refusals_total", "Refusals by reason", "reason"),
+            retries: registry.family(
                 "ibisspool_retries_total",
                 "Tasks dispatched again, by reason",
                 "reason",
             ),
-            dispatches: counter("ibisspool_dispatches_total", "Tasks dispatched"),
-            orders: counter("ibisspool_orders_total", "Orders sent to agents"),
-            reports: counter("ibisspool_reports_total", "Reports received from agents"),
-            malformed: counter(
+            dispatches: registry.counter("ibisspool_dispatches_total", "Tasks dispatched"),
+            orders: registry.counter("ibisspool_orders_total", "Orders sent to agents"),
+            reports: registry.counter("ibisspool_reports_total", "Reports received from agents"),
+            malformed: registry.counter(
                 "ibisspool_malformed_total",
                 "Messages that could not be decoded",
             ),
-            store: family(
+            store: registry.family(
                 "ibisspool_store_total",
                 "Calls of the table service by outcome",
                 "outcome",
             ),
-            changes: family(
+            changes: registry.family(
                 "ibisspool_changes_total",
                 "Operators' changes by outcome",
                 "outcome",
             ),
-            response: histogram(
+            response: registry.histogram(
                 "ibisspool_response_seconds",
                 "Time from a request to its answer",
             ),
-            queue_wait: histogram("ibisspool_queue_wait_seconds", "Time in an agent's queue"),
+            queue_wait: registry
+                .histogram("ibisspool_queue_wait_seconds", "Time in an agent's queue"),
             registry: registry.clone(),
         };
         for reason in Reason::iter() {
@@ -118,10 +87,7 @@
 
     /// Returns all metrics as text.
     pub fn text(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        debug_assert!(encoded.is_ok(), "metrics of this program can be encoded");
-        text
+        self.registry.text()
     }
 }
 
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -59,6 +59,7 @@
     metrics: Metrics,
     clock: Clock,
     incarnation: u64,
+    lapsed_below: Arc<AtomicU64>,
 }
 
 impl Peers {
@@ -81,9 +82,15 @@
             metrics,
             clock,
             incarnation,
+            lapsed_below: Arc::default(),
         }
     }
 
+    /// Sets what heartbeats are told of earlier epochs; an older value is as true.
+    pub fn set_lapsed_below(&self, epoch: u64) {
+        self.lapsed_below.store(epoch, Ordering::Relaxed);
+    }
+
     /// Serves agents and other entries; returns the bound address.
     ///
     /// # Errors
@@ -148,6 +155,8 @@
             if let Some(wall) = answer.wall_ms {
                 let _ended = events.send(compared(to.clone(), wall, sent, clock.now()));
             }
+            let below = answer.lapsed_below;
+            let _ended = events.send(Event::Lapsed { below });
             let _ended = events.send(Event::BeatAnswered {
                 member: to,
                 epoch: answer.epoch,
@@ -300,6 +309,7 @@
         Ok(Response::new(wire::BeatAnswer {
             epoch,
             wall_ms: Some(self.clock.now().wall.0),
+            lapsed_below: self.lapsed_below.load(Ordering::Relaxed),
         }))
     }
 
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -3,7 +3,9 @@
 pub mod clock;
 pub mod http;
 pub mod log;
+pub mod metrics;
 pub mod part;
 pub mod pulse;
+pub mod run;
 pub mod settings;
 pub mod signal;
--- /dev/null
+++ b/crates/kernel/src/run.rs
@@ -0,0 +1,37 @@
+//! The course of a process from its checked settings to its exit code.
+
+use anyhow::Result;
+
+use crate::log::{self as logs, Format};
+use crate::settings::{Error, INVALID};
+
+/// Exit code for a process that could not start or go on.
+const FAILED: i32 = 1;
+
+/// Runs a process with its settings, or only checks them; returns the exit code.
+pub fn run<S, L, R>(settings: Result<S, Error>, check: bool, logs: L, run: R) -> i32
+where
+    L: FnOnce(&S) -> (Format, &str),
+    R: FnOnce(&S) -> Result<()>,
+{
+    let settings = match settings {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("error: {error}");
+            return INVALID;
+        }
+    };
+    if check {
+        println!("The settings are valid.");
+        return 0;
+    }
+    let (format, level) = logs(&settings);
+    logs::start(format, level);
+    match run(&settings) {
+        Ok(()) => 0,
+        Err(error) => {
+            log::error!("serve: {error:#}.");
+            FAILED
+        }
+    }
+}
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -118,6 +118,9 @@
     /// Wall clock of the entry that answers, in milliseconds since the Unix epoch.
     #[prost(uint64, optional, tag = "2")]
     pub wall_ms: ::core::option::Option<u64>,
+    /// No entry can hold a lease of an epoch below this one any more.
+    #[prost(uint64, tag = "3")]
+    pub lapsed_below: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Inquiry {
