--- a/crates/standin/examples/faults.rs
+++ b/crates/standin/examples/faults.rs
@@ -15,10 +15,27 @@
         .about("Faults against real processes on loopback, with a check of the history")
         .arg(flag("rounds", "COUNT", "Rounds of faults").default_value("20"))
         .arg(flag("seed", "NUMBER", "Seed of faults and callers").default_value("1"))
+        .arg(
+            flag(
+                "takeovers",
+                "COUNT",
+                "Measure takeovers instead, with the store up and down",
+            )
+            .default_value("0"),
+        )
         .get_matches();
     let rounds = read_within(&matches, "rounds", 1, 10_000)? as u32;
     let seed = read::<u64>(&matches, "seed", "a whole number")?;
     logs::start(logs::Format::Text, "error");
+    let takeovers = read_within(&matches, "takeovers", 0, 1_000)? as usize;
+    if takeovers > 0 {
+        println!("store up: {:?}", faults::takeovers(takeovers, false)?);
+        println!(
+            "store down: {:?}",
+            faults::takeovers(takeovers.min(2), true)?
+        );
+        return Ok(());
+    }
     let totals = faults::run(rounds, seed)?;
     println!(
         "{rounds} rounds, {} faults, {} submissions, {} answered whole, {} without an answer, {} violations",
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -1,6 +1,8 @@
 //! Rounds of faults against real processes: entries and agents are killed and paused and the
 //! table service fails, while callers submit and resubmit the same ids through all entries.
 
+mod takeover;
+
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -21,6 +23,8 @@
 use crate::local::{self, ECHO};
 use crate::platform::{self, Platform};
 
+pub use takeover::takeovers;
+
 const ENTRIES: usize = 3;
 const AGENTS: usize = 4;
 const SLOTS: u32 = 4;
