fix(core): a process whose address was taken over holds no lease

Ruled out: the epochs learnt from others' heartbeats, since no entry could know them as lapsed. Change: a member whose address another incarnation has taken over in the row counts as gone, as an inquiry already treats it; the wait of a lease follows as after an answer. Conclusion: a majority that vanishes with its addresses still costs the store grace.

--- a/crates/core/src/entry/control.rs
+++ b/crates/core/src/entry/control.rs
@@ -297,6 +297,7 @@
             };
             self.watch_end_of(first, before, now);
         }
+        self.takeover.bury(&row.members, now.mono);
         self.lease.reset();
         self.row = row;
         if self.catalogue_version != self.row.catalogue {
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -8,7 +8,7 @@
 
 use smallvec::SmallVec;
 
-use crate::control::Row;
+use crate::control::{Member, Row};
 use crate::settings::Timing;
 use crate::time::Mono;
 
@@ -143,6 +143,22 @@
         }
     }
 
+    /// Records that the processes whose addresses later members have taken over are gone. An
+    /// address belongs to one process at a time, so they can hold no lease after `now`.
+    pub fn bury(&mut self, members: &[Member], now: Mono) {
+        for pending in &mut self.pending {
+            let replaced = pending.before.members.iter().filter(|old| {
+                let takes_over = |new: &&Member| {
+                    new.address == old.address && new.incarnation != old.incarnation
+                };
+                members.iter().any(|new| takes_over(&new))
+            });
+            for old in replaced {
+                pending.answers.entry(old.name.clone()).or_insert(now);
+            }
+        }
+    }
+
     /// Drops every earlier epoch whose leases have all lapsed by `now`; returns whether any did.
     pub fn settle(&mut self, timing: &Timing, now: Mono) -> bool {
         let before = self.pending.len();
--- a/crates/core/tests/takeover.rs
+++ b/crates/core/tests/takeover.rs
@@ -7,6 +7,7 @@
 use ibisspool_core::entry::{Event, Findings, Question};
 use ibisspool_core::job::{Id, Task};
 use ibisspool_core::rendezvous;
+use ibisspool_core::settings::Bounds;
 
 /// Returns an id made just now that `a` coordinates before the entry `c` has joined, and `c` then.
 fn moving_to_c(cluster: &Cluster) -> Id {
@@ -297,3 +298,22 @@
 
     assert_eq!(cluster.starts(id), [last]);
 }
+
+#[test]
+fn entries_restarted_together_at_their_addresses_soon_take_new_jobs() {
+    let mut cluster = cluster(&["a", "b", "c"]);
+    cluster.run(3_000);
+    let addresses = [0, 1].map(|at: usize| cluster.nodes[at].me.address.clone());
+    cluster.nodes[0].process = Process::Dead;
+    cluster.nodes[1].process = Process::Dead;
+
+    let [a, b] = addresses;
+    cluster.start_at("a", 2, a, Bounds::default());
+    let last = cluster.start_at("b", 2, b, Bounds::default());
+    cluster.run(5_000);
+    let id = cluster.id_of(last, 0);
+    cluster.submit(last, id);
+    cluster.run(1_000);
+
+    assert_eq!(cluster.starts(id), [last]);
+}
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -3,6 +3,7 @@
 
 mod takeover;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -264,14 +265,7 @@
             seed + u64::from(round),
             &mut totals,
         )?);
-        let whole = history[before..]
-            .iter()
-            .filter(|told: &&Told| told.outputs.is_some())
-            .count();
-        println!(
-            "round {round}: {} answers, {whole} whole",
-            history.len() - before
-        );
+        print_round(round, &history[before..]);
     }
     // Tasks that were under way when their job was given up may still start.
     thread::sleep(JOB_TIMEOUT);
@@ -282,6 +276,19 @@
     Ok(totals)
 }
 
+fn print_round(round: u32, told: &[Told]) {
+    let mut ends: BTreeMap<&str, usize> = BTreeMap::new();
+    for answer in told {
+        let end = if answer.outputs.is_some() {
+            "whole"
+        } else {
+            &answer.reason
+        };
+        *ends.entry(end).or_default() += 1;
+    }
+    println!("round {round}: {ends:?}");
+}
+
 fn run_round(system: &mut System, seed: u64, totals: &mut Totals) -> Result<Vec<Told>> {
     let ended = Arc::new(AtomicBool::new(false));
     let heard = Arc::new(Mutex::new(Vec::new()));
@@ -350,6 +357,7 @@
                         inputs: inputs.clone(),
                         outputs: whole.then_some(outputs),
                         not_run: answer.ran == "no",
+                        reason: answer.reason,
                     };
                     heard
                         .lock()
--- a/crates/standin/src/history.rs
+++ b/crates/standin/src/history.rs
@@ -16,6 +16,8 @@
     pub outputs: Option<Vec<Value>>,
     /// Whether a refusal said that nothing ran and nothing ever will.
     pub not_run: bool,
+    /// Reason of a refusal.
+    pub reason: String,
 }
 
 /// A promise that a history breaks.
--- a/crates/standin/tests/history.rs
+++ b/crates/standin/tests/history.rs
@@ -14,6 +14,7 @@
         inputs: inputs(),
         outputs,
         not_run,
+        reason: String::new(),
     }
 }
 
