--- a/crates/core/src/entry/action.rs
+++ b/crates/core/src/entry/action.rs
@@ -6,7 +6,7 @@
 use crate::job::{Answer, Id, Spec};
 use crate::refusal::Retry;
 
-use super::{Findings, Step, Waiter, operator};
+use super::{Event, Findings, Origin, Step, Waiter, operator};
 
 /// Something to carry out.
 #[derive(Debug, Clone, PartialEq)]
@@ -139,4 +139,31 @@
             Self::Get(id) | Self::Cancel(id) | Self::Trace(id) => *id,
         }
     }
+
+    /// Returns the event with which an entry takes up the question.
+    pub fn into_event(self, waiter: Waiter, origin: Origin) -> Event {
+        let forwarded = origin == Origin::Forwarded;
+        match self {
+            Self::Submit(spec) => Event::Submit {
+                waiter,
+                spec,
+                origin,
+            },
+            Self::Get(id) => Event::Get {
+                waiter,
+                id,
+                forwarded,
+            },
+            Self::Cancel(id) => Event::Cancel {
+                waiter,
+                id,
+                forwarded,
+            },
+            Self::Trace(id) => Event::Trace {
+                waiter,
+                id,
+                forwarded,
+            },
+        }
+    }
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -344,7 +344,9 @@
         })?;
         let id = question.id();
         let (waiter, answer) = self.waiters.add_peer();
-        let _ended = self.events.send(event(waiter, question));
+        let _ended = self
+            .events
+            .send(question.into_event(waiter, Origin::Forwarded));
         let answer = answer
             .await
             .map_err(|_gone| Status::unavailable("the entry stops"))?;
@@ -357,32 +359,6 @@
     }
 }
 
-fn event(waiter: Waiter, question: Question) -> Event {
-    let forwarded = true;
-    match question {
-        Question::Submit(spec) => Event::Submit {
-            waiter,
-            spec,
-            origin: Origin::Forwarded,
-        },
-        Question::Get(id) => Event::Get {
-            waiter,
-            id,
-            forwarded,
-        },
-        Question::Cancel(id) => Event::Cancel {
-            waiter,
-            id,
-            forwarded,
-        },
-        Question::Trace(id) => Event::Trace {
-            waiter,
-            id,
-            forwarded,
-        },
-    }
-}
-
 fn encode_reply(id: &Id, reply: decode::Reply) -> wire::Reply {
     match reply {
         decode::Reply::Answer(answer) => encode::answer(id, answer),
--- a/crates/standin/examples/overhead.rs
+++ b/crates/standin/examples/overhead.rs
@@ -7,9 +7,7 @@
 use clap::Command;
 use crossbeam::channel::unbounded;
 use hdrhistogram::Histogram;
-use ibisspool_core::control::Member;
 use ibisspool_core::job::Id;
-use ibisspool_core::rendezvous;
 use ibisspool_kernel::log as logs;
 use ibisspool_kernel::settings::{flag, read_within};
 use ibisspool_standin::caller;
@@ -50,7 +48,10 @@
     ];
     for _round in 0..rounds {
         record(&mut ways[0], || direct(&local))?;
-        let (own, other) = (id_for(0), id_for(1));
+        let (own, other) = (
+            caller::id_coordinated_by(0, ENTRIES.len()),
+            caller::id_coordinated_by(1, ENTRIES.len()),
+        );
         record(&mut ways[1], || submit(&local, &own))?;
         record(&mut ways[2], || submit(&local, &other))?;
     }
@@ -123,25 +124,6 @@
     Ok(())
 }
 
-/// Draws an id that the entry of the number coordinates.
-fn id_for(number: usize) -> Id {
-    let members: Vec<Member> = (0..ENTRIES.len())
-        .map(|number| Member {
-            name: format!("entry-{number}"),
-            incarnation: 0,
-            address: String::new(),
-            data_centre: String::new(),
-        })
-        .collect();
-    loop {
-        let id = caller::new_id();
-        let coordinator = rendezvous::coordinator(&members, &id);
-        if coordinator.is_some_and(|member| member.name == members[number].name) {
-            return id;
-        }
-    }
-}
-
 fn print(ways: &[Way]) {
     let at = |way: &Way, quantile: f64| way.micros.value_at_quantile(quantile) as f64 / 1_000.0;
     println!(
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
+use ibisspool_core::control::Member;
 use ibisspool_core::job::Id;
+use ibisspool_core::rendezvous;
 use ibisspool_core::time::Wall;
 use serde::Deserialize;
 use serde_json::Value;
@@ -80,3 +82,22 @@
     answer.status = status;
     Ok(answer)
 }
+
+/// Draws an id that the entry of the number coordinates while `entries` of them, named by their
+/// numbers, are the members.
+pub fn id_coordinated_by(number: usize, entries: usize) -> Id {
+    let member = |number: usize| Member {
+        name: format!("entry-{number}"),
+        incarnation: 0,
+        address: String::new(),
+        data_centre: String::new(),
+    };
+    let members: Vec<Member> = (0..entries).map(member).collect();
+    loop {
+        let id = new_id();
+        let coordinator = rendezvous::coordinator(&members, &id);
+        if coordinator.is_some_and(|found| found.name == members[number].name) {
+            return id;
+        }
+    }
+}
--- a/crates/standin/src/faults/takeover.rs
+++ b/crates/standin/src/faults/takeover.rs
@@ -3,9 +3,6 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Result;
-use ibisspool_core::control::Member;
-use ibisspool_core::job::Id;
-use ibisspool_core::rendezvous;
 use serde_json::json;
 
 use super::{ENTRIES, System};
@@ -50,28 +47,16 @@
 
 fn wait_for_job(url: &str, dead: usize, begun: Instant) -> Option<Duration> {
     while begun.elapsed() < PATIENCE {
-        let answer = caller::submit(url, &id_of(dead), ECHO, &[json!({})], TRY_TIMEOUT);
+        let answer = caller::submit(
+            url,
+            &caller::id_coordinated_by(dead, ENTRIES),
+            ECHO,
+            &[json!({})],
+            TRY_TIMEOUT,
+        );
         if answer.is_ok_and(|answer| answer.status == 200) {
             return Some(begun.elapsed());
         }
     }
     None
 }
-
-/// Draws an id that the entry coordinates while all are members.
-fn id_of(number: usize) -> Id {
-    let member = |number: usize| Member {
-        name: format!("entry-{number}"),
-        incarnation: 0,
-        address: String::new(),
-        data_centre: String::new(),
-    };
-    let members: Vec<Member> = (0..ENTRIES).map(member).collect();
-    loop {
-        let id = caller::new_id();
-        let coordinator = rendezvous::coordinator(&members, &id);
-        if coordinator.is_some_and(|found| found.name == members[number].name) {
-            return id;
-        }
-    }
-}
