--- a/crates/agent/src/cli.rs
+++ b/crates/agent/src/cli.rs
@@ -7,9 +7,18 @@
 
 use crate::serve;
 use crate::settings::Settings;
+use crate::spool;
 
 /// Returns the command line.
 pub fn command() -> Command {
+    let spool = Command::new("spool")
+        .about("Run tasks of jobs that need not be kept, on one thread")
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings and exit"),
+        );
     let command = Command::new("ibisspool-agent")
         .about("The only starter of tasks on its backend server")
         .version(env!("CARGO_PKG_VERSION"))
@@ -20,6 +29,8 @@
                 .help("Check the settings and exit"),
         );
     Settings::add_flags(command)
+        .subcommand_negates_reqs(true)
+        .subcommand(spool::Settings::add_flags(spool))
 }
 
 /// Runs the command line and returns the exit code.
@@ -28,7 +39,15 @@
     I: IntoIterator<Item = OsString>,
 {
     match command().try_get_matches_from(args) {
-        Ok(matches) => run_agent(&matches),
+        Ok(matches) => match matches.subcommand() {
+            Some(("spool", matches)) => run::run(
+                spool::Settings::read(matches),
+                matches.get_flag("check"),
+                run::own_logs,
+                spool::run,
+            ),
+            _ => run_agent(&matches),
+        },
         Err(error) => {
             let _printed = error.print();
             error.exit_code()
@@ -40,7 +59,7 @@
     run::run(
         Settings::read(matches),
         matches.get_flag("check"),
-        |settings| (settings.log_format, &settings.log_level),
+        |settings| Some((settings.log_format, &settings.log_level)),
         serve::run,
     )
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod runner;
 pub mod serve;
 pub mod settings;
+pub mod spool;
--- /dev/null
+++ b/crates/agent/src/spool.rs
@@ -0,0 +1,88 @@
+//! Runs an agent for jobs that need not be kept: all on one thread.
+
+mod hub;
+mod links;
+mod metrics;
+mod server;
+mod settings;
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result};
+use ibisspool_core::spool::agent::TICK;
+use ibisspool_kernel::log::Batch;
+use ibisspool_kernel::spool::{self as common, Signals};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+use hub::Hub;
+pub use settings::Settings;
+
+/// Time left at the end of the grace for the last reports to leave.
+const LAST_REPORTS: Duration = Duration::from_secs(1);
+
+/// Runs an agent until a signal stops it.
+///
+/// # Errors
+/// Fails if it cannot start.
+pub fn run(settings: &Settings) -> Result<()> {
+    let logs = Batch::start(&settings.common.log_level);
+    let served = common::block_on(serve(settings.clone(), logs.clone()));
+    if let Err(error) = &served {
+        log::error!("serve: {error:#}.");
+    }
+    logs.finish();
+    served
+}
+
+async fn serve(settings: Settings, logs: Batch) -> Result<()> {
+    let common = &settings.common;
+    log::info!(
+        "serve: Agent starts. name={} data_centre={} server={}",
+        common.name,
+        common.data_centre,
+        settings.server
+    );
+    common::warn_of(&common.safety);
+    let hub = Hub::new(&settings);
+    let announcements = TcpListener::bind(settings.listen)
+        .await
+        .with_context(|| format!("cannot listen on {}; is it in use?", settings.listen))?;
+
+    spawn_local(common::flush_logs(logs));
+    spawn_local(common::serve_metrics(common.metrics, hub.metrics()));
+    spawn_local(server::serve(announcements, Rc::clone(&hub)));
+    spawn_local(server::hold(Rc::clone(&hub)));
+    spawn_local(links::dial_members(
+        Rc::clone(&hub),
+        common.seed_peers().collect(),
+        common.store,
+    ));
+    spawn_local(tick(Rc::clone(&hub)));
+
+    Signals::new()?.stop().await;
+    stop(&hub, common.grace).await;
+    Ok(())
+}
+
+async fn tick(hub: Rc<Hub>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        hub.tick();
+    }
+}
+
+/// Lets what runs end.
+async fn stop(hub: &Rc<Hub>, grace: Duration) {
+    let began = Instant::now();
+    hub.stop();
+    log::info!("serve: Planned stop. tasks={}", hub.busy());
+    let latest = grace.saturating_sub(LAST_REPORTS);
+    while began.elapsed() < latest && hub.busy() > 0 {
+        tokio::time::sleep(TICK).await;
+    }
+    // The last outcomes leave with the reports of one more round.
+    tokio::time::sleep(TICK * 2).await;
+    log::info!("serve: Stopped. tasks={}", hub.busy());
+}
--- /dev/null
+++ b/crates/agent/src/spool/hub.rs
@@ -0,0 +1,236 @@
+//! Holds the decisions of an agent and carries out their actions.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use ibisspool_core::spool::agent::{Action, Agent, Hold, LinkKey, Listing};
+use ibisspool_core::spool::message::{AgentHello, Member};
+use ibisspool_core::time::{Mono, Now};
+use ibisspool_kernel::channel::Sender;
+use ibisspool_kernel::clock::Clock;
+use ibisspool_kernel::metrics::Metrics;
+use ibisspool_kernel::spool as common;
+use ibisspool_platform::executor::{Executor, HoldError};
+use slotmap::SecondaryMap;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+use super::metrics::Meter;
+use super::settings::Settings;
+
+/// Prefix of the log lines of decisions.
+const PREFIX: &str = "agent";
+
+/// The decisions with the connections that they act on.
+#[derive(Debug)]
+pub struct Hub {
+    clock: Clock,
+    agent: RefCell<Agent>,
+    executor: Executor,
+    links: RefCell<SecondaryMap<LinkKey, Sender>>,
+    members: RefCell<Vec<Member>>,
+    /// Rung when the list of entries has grown.
+    pub members_grew: Notify,
+    /// Rung when the first backend server is known.
+    pub announced: Notify,
+    report_armed: Cell<bool>,
+    meter: Meter,
+}
+
+impl Hub {
+    /// Makes the hub of an agent without connections.
+    pub fn new(settings: &Settings) -> Rc<Self> {
+        let clock = Clock::new();
+        let hello = AgentHello {
+            name: settings.common.name.clone(),
+            data_centre: settings.common.data_centre.clone(),
+        };
+        let agent = Agent::new(hello, settings.common.safety, clock.now());
+        Rc::new(Self {
+            clock,
+            agent: RefCell::new(agent),
+            executor: Executor::new(settings.server),
+            links: RefCell::default(),
+            members: RefCell::default(),
+            members_grew: Notify::new(),
+            announced: Notify::new(),
+            report_armed: Cell::new(false),
+            meter: Meter::new(),
+        })
+    }
+
+    /// Returns the metrics.
+    pub fn metrics(&self) -> Metrics {
+        self.meter.all.clone()
+    }
+
+    /// Returns what the first message of a connection says.
+    pub fn hello(&self) -> AgentHello {
+        self.agent.borrow().hello().clone()
+    }
+
+    /// Returns the present.
+    pub fn now(&self) -> Mono {
+        self.clock.mono()
+    }
+
+    /// Lets the decisions handle something and carries out what they say.
+    pub fn decide<R, F>(self: &Rc<Self>, handle: F) -> R
+    where
+        F: FnOnce(&mut Agent, Now) -> R,
+    {
+        let (result, actions, due) = {
+            let mut agent = self.agent.borrow_mut();
+            let result = handle(&mut agent, self.clock.now());
+            (
+                result,
+                agent.take_actions(),
+                agent.report_due_in(self.clock.mono()),
+            )
+        };
+        for action in actions {
+            self.carry_out(action);
+        }
+        if let Some(delay) = due
+            && !self.report_armed.replace(true)
+        {
+            let hub = Rc::clone(self);
+            spawn_local(async move {
+                tokio::time::sleep(delay).await;
+                hub.report_armed.set(false);
+                hub.tick();
+            });
+        }
+        result
+    }
+
+    fn carry_out(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Start {
+                key,
+                name,
+                number,
+                spec,
+                until,
+                token,
+            } => {
+                let hub = Rc::clone(self);
+                spawn_local(async move {
+                    let answer = hub.executor.start(name, number, &spec, until, token).await;
+                    hub.decide(|agent, now| agent.start_answer(key, answer, now));
+                });
+            }
+            Action::Stop {
+                name,
+                number,
+                token,
+            } => {
+                let hub = Rc::clone(self);
+                spawn_local(async move {
+                    if hub.executor.stop(name, number, token).await {
+                        hub.decide(|agent, now| agent.stop_answer(number, now));
+                    } else {
+                        hub.meter.silent.inc();
+                    }
+                });
+            }
+            Action::Probe => {
+                let hub = Rc::clone(self);
+                spawn_local(async move {
+                    if let Some(hold) = hub.decide(Agent::next_hold) {
+                        let hold = Hold {
+                            wait: std::time::Duration::ZERO,
+                            ..hold
+                        };
+                        hub.look_once(hold).await;
+                    }
+                });
+            }
+            Action::Report(link, report) => {
+                for outcome in &report.outcomes {
+                    self.meter.outcome(outcome);
+                }
+                if let Some(sender) = self.links.borrow().get(link) {
+                    sender.send(&report);
+                }
+            }
+            Action::Note(note) => common::write(PREFIX, &note),
+        }
+    }
+
+    /// Looks at the backend server's lists once; returns whether it answered.
+    pub async fn look_once(self: &Rc<Self>, hold: Hold) -> bool {
+        let asked = self.now();
+        let listing: Result<Listing, HoldError> = self.executor.hold(hold).await;
+        match listing {
+            Ok(listing) => {
+                self.decide(|agent, now| agent.listing(&listing, asked, now));
+                true
+            }
+            Err(HoldError::Fenced) => {
+                self.decide(|agent, _now| agent.raise_token());
+                false
+            }
+            Err(error) => {
+                self.meter.silent.inc();
+                let refused = error == HoldError::Refused;
+                self.decide(|agent, now| agent.hold_failed(refused, now));
+                false
+            }
+        }
+    }
+
+    /// Notes a connection to an entry.
+    pub fn connect(self: &Rc<Self>, entry: &str, sender: Sender) -> LinkKey {
+        let (link, actions) = {
+            let mut agent = self.agent.borrow_mut();
+            let link = agent.connect(entry, self.clock.now());
+            self.links.borrow_mut().insert(link, sender);
+            (link, agent.take_actions())
+        };
+        for action in actions {
+            self.carry_out(action);
+        }
+        link
+    }
+
+    /// Notes the end of a connection to an entry.
+    pub fn disconnect(self: &Rc<Self>, link: LinkKey) {
+        self.links.borrow_mut().remove(link);
+        self.decide(|agent, now| agent.disconnect(link, now));
+    }
+
+    /// Does what is due.
+    pub fn tick(self: &Rc<Self>) {
+        self.decide(Agent::tick);
+    }
+
+    /// Begins the planned stop.
+    pub fn stop(self: &Rc<Self>) {
+        self.decide(Agent::stop);
+    }
+
+    /// Returns the number of tasks that run or wait.
+    pub fn busy(&self) -> usize {
+        self.agent.borrow().busy()
+    }
+
+    /// Returns the entries known.
+    pub fn members(&self) -> Vec<Member> {
+        self.members.borrow().clone()
+    }
+
+    /// Notes entries.
+    pub fn learn_members(&self, members: Vec<Member>) {
+        let mut known = self.members.borrow_mut();
+        let before = known.len();
+        for member in members {
+            if !known.contains(&member) {
+                known.push(member);
+            }
+        }
+        if known.len() > before {
+            self.members_grew.notify_waiters();
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/spool/links.rs
@@ -0,0 +1,115 @@
+//! Connections to the entries.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use ibisspool_core::spool::message::{Caller, Hello, Order, VERSION};
+use ibisspool_kernel::channel;
+use ibisspool_platform::store::Store;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use super::hub::Hub;
+
+/// An entry without a message for this long is given up: it answers each third report.
+const SILENCE: Duration = Duration::from_millis(1_200);
+
+/// Time for a connection.
+const CONNECT: Duration = Duration::from_millis(400);
+
+/// Pause before another try to connect.
+const AGAIN: Duration = Duration::from_millis(200);
+
+/// Time after which an agent that knows few entries asks the store for them.
+const ASK_STORE: Duration = Duration::from_secs(1);
+
+/// Time between two questions to the store; entries tell of each other meanwhile.
+const ASK_STORE_AGAIN: Duration = Duration::from_secs(10);
+
+/// Keeps a connection to each entry that is known.
+pub async fn dial_members(hub: Rc<Hub>, seeds: Vec<SocketAddr>, store: SocketAddr) {
+    spawn_local(ask_store(Rc::clone(&hub), store));
+    let mut dialled: HashSet<SocketAddr> = HashSet::new();
+    let mut wanted = seeds;
+    loop {
+        for address in wanted {
+            if dialled.insert(address) {
+                spawn_local(dial(Rc::clone(&hub), address));
+            }
+        }
+        let grew = hub.members_grew.notified();
+        wanted = addresses(&hub);
+        if wanted.iter().all(|address| dialled.contains(address)) {
+            grew.await;
+            wanted = addresses(&hub);
+        }
+    }
+}
+
+fn addresses(hub: &Hub) -> Vec<SocketAddr> {
+    hub.members().iter().map(|member| member.address).collect()
+}
+
+/// Learns of entries that no seed leads to.
+async fn ask_store(hub: Rc<Hub>, address: SocketAddr) {
+    let store = Store::new(address);
+    let mut lost = false;
+    tokio::time::sleep(ASK_STORE).await;
+    loop {
+        let pause = match store.members().await {
+            Ok(members) => {
+                lost = false;
+                hub.learn_members(members);
+                ASK_STORE_AGAIN
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut lost, true) {
+                    log::warn!("store: Lost. for=members error={error}");
+                }
+                ASK_STORE
+            }
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+async fn dial(hub: Rc<Hub>, address: SocketAddr) {
+    loop {
+        if let Err(error) = attend(&hub, address).await {
+            log::debug!("links: A connection ended. address={address} error={error:#}");
+        }
+        tokio::time::sleep(AGAIN).await;
+    }
+}
+
+/// Connects to an entry and handles its orders until the connection ends.
+async fn attend(hub: &Rc<Hub>, address: SocketAddr) -> Result<()> {
+    let stream = timeout(CONNECT, TcpStream::connect(address))
+        .await
+        .context("no connection in time")??;
+    let (sender, mut receiver) = channel::open(stream);
+    sender.send(&Hello {
+        version: VERSION,
+        from: Caller::Agent(hub.hello()),
+    });
+    let link = hub.connect(&address.to_string(), sender);
+    let ended = loop {
+        match timeout(SILENCE, receiver.receive::<Order>()).await {
+            Ok(Ok(Some(mut order))) => {
+                if let Some(members) = order.members.take() {
+                    hub.learn_members(members);
+                }
+                hub.decide(|agent, now| agent.order(link, order, now));
+            }
+            Ok(Ok(None)) => break anyhow::anyhow!("the entry closed the connection"),
+            Ok(Err(error)) => break error.into(),
+            Err(_elapsed) => break anyhow::anyhow!("the entry was silent"),
+        }
+    };
+    hub.disconnect(link);
+    Err(ended)
+}
--- /dev/null
+++ b/crates/agent/src/spool/server.rs
@@ -0,0 +1,51 @@
+//! The backend server's side: its announcements, and the holds that renew its lease.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::StatusCode;
+use ibisspool_core::spool::agent::Agent;
+use ibisspool_kernel::spool::OWN_LIMITS;
+use ibisspool_kernel::web::{self, Call, Reply};
+use ibisspool_platform::executor::{self, Word};
+use tokio::net::TcpListener;
+
+use super::hub::Hub;
+
+/// Pause after a hold without an answer.
+const AGAIN: Duration = Duration::from_millis(50);
+
+/// Takes the announcements.
+pub async fn serve(listener: TcpListener, hub: Rc<Hub>) {
+    let answer = move |call: Call| {
+        let reply = match executor::decode(&call) {
+            Ok(Word::Announcement(announcement)) => {
+                hub.decide(|agent, now| agent.announce(announcement, now));
+                hub.announced.notify_one();
+                Reply::new(StatusCode::OK).with_body("{}")
+            }
+            Ok(Word::Farewell) => {
+                hub.decide(Agent::leave);
+                Reply::new(StatusCode::OK).with_body("{}")
+            }
+            Err(reply) => reply,
+        };
+        async move { reply }
+    };
+    web::serve(listener, || OWN_LIMITS, answer).await;
+}
+
+/// Looks at the lists again and again: one call renews the lease, acknowledges ends and waits for
+/// the next one.
+pub async fn hold(hub: Rc<Hub>) {
+    loop {
+        match hub.decide(Agent::next_hold) {
+            None => hub.announced.notified().await,
+            Some(hold) => {
+                if !hub.look_once(hold).await {
+                    tokio::time::sleep(AGAIN).await;
+                }
+            }
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod rendezvous;
 pub mod settings;
 pub mod skew;
+pub mod spool;
 pub mod time;
--- /dev/null
+++ b/crates/core/src/spool/agent/backend.rs
@@ -0,0 +1,531 @@
+//! The backend server: its announcement, its lists of runs, its lease.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::super::job::{Resources, TaskName};
+use super::super::message::{Declined, End, Server};
+use super::super::note::Note;
+use super::run::Stray;
+use super::{Action, Agent, Health, Phase, RunKey, Verdict};
+use crate::time::{Mono, Now};
+
+/// Longest wait for an end in one hold; short enough to renew the lease twice within it.
+const LONGEST_WAIT: Duration = Duration::from_millis(200);
+
+/// Answers that may fail in a row before the server counts as unreachable.
+const FAILURES: u32 = 2;
+
+/// How far a refused token is raised; doubled until the server takes it.
+const TOKEN_STEP: u64 = 4_000;
+
+/// What a backend server says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Announcement {
+    /// Wall time of its start in milliseconds; a newer one is another incarnation.
+    pub born: u64,
+    /// Rises with each announcement of one incarnation.
+    pub sequence: u64,
+    /// Its service.
+    pub service: Arc<str>,
+    /// All that it has.
+    pub capacity: Resources,
+    /// Its labels.
+    pub labels: Vec<String>,
+    /// Whether it takes new tasks; false while it drains.
+    pub ready: bool,
+}
+
+/// A run in the server's list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Running {
+    /// Name of the task.
+    pub name: TaskName,
+    /// Number of the start.
+    pub number: u64,
+    /// Share of the work that is done.
+    pub percent: u8,
+}
+
+/// An end in the server's list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ended {
+    /// Number of the end, rising from 1 in each incarnation.
+    pub sequence: u64,
+    /// Number of the start.
+    pub number: u64,
+    /// How it ended.
+    pub end: End,
+}
+
+/// Both lists at one moment.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Listing {
+    /// Incarnation of the server, 0 if it did not say.
+    pub born: u64,
+    /// Time on the server's clock in milliseconds.
+    pub clock: u64,
+    /// What runs.
+    pub running: Vec<Running>,
+    /// What has ended and was not acknowledged.
+    pub ended: Vec<Ended>,
+}
+
+/// The next look at the lists.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Hold {
+    /// Token that fences off earlier agents.
+    pub token: u64,
+    /// Ends up to this one were taken note of.
+    pub acknowledged: u64,
+    /// New end of the lease on the server's clock; `None` lets it run out.
+    pub until: Option<u64>,
+    /// How long the answer may wait for an end.
+    pub wait: Duration,
+}
+
+/// Answer of the server to a start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartAnswer {
+    /// It runs.
+    Started,
+    /// It does not run and will not: the token was too low.
+    Fenced,
+    /// It does not run and will not.
+    Refused,
+    /// Nobody listens at the server's address.
+    Unreachable,
+    /// No answer came; it may run, or start later.
+    Silent,
+}
+
+/// What is known of the server.
+#[derive(Debug, Clone)]
+pub(super) struct Backend {
+    born: u64,
+    sequence: u64,
+    pub service: Arc<str>,
+    pub capacity: Resources,
+    labels: Vec<String>,
+    pub ready: bool,
+    /// Whether it cannot be reached.
+    pub down: bool,
+    failures: u32,
+    /// Its clock, with our time at which it was read.
+    clock: Option<(u64, Mono)>,
+    acknowledged: u64,
+    /// When the last message that renews the lease was sent.
+    lease_sent: Option<Mono>,
+}
+
+impl Backend {
+    pub fn server(&self) -> Server {
+        Server {
+            service: Arc::clone(&self.service),
+            capacity: self.capacity,
+            labels: self.labels.clone(),
+            ready: self.ready,
+        }
+    }
+}
+
+impl Agent {
+    /// Handles an announcement. Older ones than known are ignored.
+    pub fn announce(&mut self, announcement: Announcement, now: Now) {
+        self.expire(now);
+        let known = self.backend.as_ref().map(|b| (b.born, b.sequence));
+        let this = (announcement.born, announcement.sequence);
+        if known.is_some_and(|known| known > this) {
+            let note = Note::new("Ignored an outdated announcement.")
+                .with("born", announcement.born)
+                .with("sequence", announcement.sequence);
+            self.note(note);
+            return;
+        }
+        if known.is_none_or(|(born, _sequence)| born < announcement.born) {
+            self.replace_backend(&announcement, now);
+        }
+        let Some(backend) = self.backend.as_mut() else {
+            return;
+        };
+        let changed = backend.ready != announcement.ready
+            || backend.service != announcement.service
+            || backend.capacity != announcement.capacity;
+        backend.sequence = announcement.sequence;
+        backend.ready = announcement.ready;
+        backend.service = announcement.service;
+        backend.capacity = announcement.capacity;
+        backend.labels = announcement.labels;
+        if changed {
+            let note = Note::new("The backend server changed.")
+                .with("service", &backend.service)
+                .with("ready", backend.ready)
+                .with("cpu", backend.capacity.cpu)
+                .with("born", backend.born);
+            self.note(note);
+            self.decline_queued(now);
+            self.report_all(now.mono);
+        }
+        self.report_due(now.mono);
+    }
+
+    /// Starts anew with another incarnation, which runs nothing of ours.
+    fn replace_backend(&mut self, announcement: &Announcement, now: Now) {
+        let note = Note::new("A backend server started.")
+            .with("born", announcement.born)
+            .with("service", &announcement.service)
+            .with("cpu", announcement.capacity.cpu);
+        self.note(note);
+        if self.backend.is_some() {
+            self.lose_started(now);
+        }
+        self.strays.clear();
+        self.swept = false;
+        self.health = Health::default();
+        self.backend = Some(Backend {
+            born: announcement.born,
+            sequence: announcement.sequence,
+            service: Arc::clone(&announcement.service),
+            capacity: announcement.capacity,
+            labels: announcement.labels.clone(),
+            ready: announcement.ready,
+            down: false,
+            failures: 0,
+            clock: None,
+            acknowledged: 0,
+            lease_sent: None,
+        });
+    }
+
+    /// Handles the server's farewell.
+    pub fn leave(&mut self, now: Now) {
+        if let Some(backend) = self.backend.as_mut() {
+            backend.ready = false;
+            self.note(Note::new("The backend server left."));
+            self.decline_queued(now);
+        }
+    }
+
+    /// Ends everything that the server may have run: it certainly runs no more.
+    fn lose_started(&mut self, now: Now) {
+        let keys: Vec<RunKey> = self.by_number.values().copied().collect();
+        for key in keys {
+            self.finish(key, End::Lost, now);
+        }
+    }
+
+    /// Returns the next look at the lists, `None` while no server is known.
+    pub fn next_hold(&mut self, now: Now) -> Option<Hold> {
+        self.expire(now);
+        let token = self.token;
+        let until = self.lease_end(now.mono);
+        let backend = self.backend.as_ref()?;
+        // A server that does not answer keeps its lease no longer than the last answer allows.
+        let renew =
+            self.started_runs() > 0 && backend.failures < FAILURES && !self.is_stop_stuck(now.mono);
+        let hold = Hold {
+            token,
+            acknowledged: backend.acknowledged,
+            until: until.filter(|_| renew),
+            wait: if self.swept {
+                LONGEST_WAIT
+            } else {
+                Duration::ZERO
+            },
+        };
+        if hold.until.is_some() {
+            self.lease_sent(now.mono);
+        }
+        Some(hold)
+    }
+
+    /// Returns the end of a lease that starts now, on the server's clock.
+    ///
+    /// The server's clock reads at least what it showed plus the time since, less 2%; the lower
+    /// bound keeps the lease short.
+    pub(super) fn lease_end(&self, now: Mono) -> Option<u64> {
+        let (clock, at) = self.backend.as_ref()?.clock?;
+        let since = now.since(at).mul_f64(super::super::safety::SLOWEST_CLOCK);
+        Some(clock + (since + self.safety.lease).as_millis() as u64)
+    }
+
+    pub(super) fn lease_sent(&mut self, now: Mono) {
+        if let Some(backend) = self.backend.as_mut() {
+            backend.lease_sent = Some(now);
+        }
+    }
+
+    /// Handles an answer to a hold that was asked for at `asked`.
+    pub fn listing(&mut self, listing: &Listing, asked: Mono, now: Now) {
+        self.expire(now);
+        let Some(backend) = self.backend.as_mut() else {
+            return;
+        };
+        let outdated = backend
+            .clock
+            .is_some_and(|(clock, _at)| listing.clock < clock);
+        if listing.born < backend.born || (listing.born == backend.born && outdated) {
+            return;
+        }
+        if listing.born > backend.born {
+            backend.born = listing.born;
+            backend.sequence = 0;
+            backend.acknowledged = 0;
+            backend.clock = None;
+            self.strays.clear();
+            self.lose_started(now);
+            self.note(Note::warn("The backend server started again.").with("born", listing.born));
+        }
+        self.reached(listing.clock, now);
+        self.take_ends(listing, now);
+        self.compare(listing, asked, now);
+        if !self.swept {
+            self.swept = true;
+            let note = Note::new("Read what runs at the backend server.")
+                .with("running", listing.running.len())
+                .with("strays", self.strays.len());
+            self.note(note);
+            self.report_all(now.mono);
+        }
+        self.repeat_stops(now);
+        self.start_queued(now);
+        self.report_due(now.mono);
+    }
+
+    fn reached(&mut self, clock: u64, now: Now) {
+        let Some(backend) = self.backend.as_mut() else {
+            return;
+        };
+        backend.failures = 0;
+        backend.clock = Some((clock, now.mono));
+        if backend.down {
+            backend.down = false;
+            self.note(Note::new("The backend server answers again."));
+            self.report_all(now.mono);
+        }
+    }
+
+    fn take_ends(&mut self, listing: &Listing, now: Now) {
+        for ended in &listing.ended {
+            if let Some(backend) = self.backend.as_mut() {
+                backend.acknowledged = backend.acknowledged.max(ended.sequence);
+            }
+            let Some(&key) = self.by_number.get(&ended.number) else {
+                continue;
+            };
+            let run = &self.runs[key];
+            let (name, retried) = (run.start.name, run.start.retried);
+            let ran = now.mono.since(run.started);
+            let (estimate, on_stopped) = (run.start.estimate, run.on_stopped);
+            match ended.end {
+                End::Done => self.health.good(ran, estimate, now.mono),
+                End::Failed => self.count_bad(name, retried, now),
+                End::Lost | End::NotStarted(_) => {}
+            }
+            let end = match ended.end {
+                End::Lost => on_stopped,
+                end => end,
+            };
+            self.finish(key, end, now);
+        }
+    }
+
+    fn count_bad(&mut self, name: TaskName, retried: bool, now: Now) {
+        if self.health.bad(name.job, retried, now.mono) {
+            self.note(
+                Note::warn("Closed the backend server: jobs fail in a row.").with("job", name),
+            );
+            self.report_all(now.mono);
+        }
+    }
+
+    /// Compares the list of runs with what should run.
+    fn compare(&mut self, listing: &Listing, asked: Mono, now: Now) {
+        for running in &listing.running {
+            match self.by_number.get(&running.number) {
+                Some(&key) => self.progress(key, running.percent, now),
+                None => self.add_stray(running, now),
+            }
+        }
+        let listed = |number: u64| listing.running.iter().any(|run| run.number == number);
+        self.strays.retain(|stray| listed(stray.number));
+        let missing: Vec<RunKey> = self
+            .by_number
+            .iter()
+            .filter(|(number, _key)| !listed(**number))
+            .map(|(_number, key)| *key)
+            .collect();
+        for key in missing {
+            self.missing(key, asked, now);
+        }
+    }
+
+    fn add_stray(&mut self, running: &Running, now: Now) {
+        if self
+            .strays
+            .iter()
+            .any(|stray| stray.number == running.number)
+        {
+            return;
+        }
+        let note = Note::warn("Stopping a run that nobody claims.")
+            .with("job", running.name)
+            .with("run", running.number);
+        self.note(note);
+        self.strays.push(Stray {
+            name: running.name,
+            number: running.number,
+            since: now.mono,
+            stop_sent: None,
+        });
+    }
+
+    /// Handles a run that the list shows.
+    fn progress(&mut self, key: RunKey, percent: u8, now: Now) {
+        let pace = f64::from(self.health.pace(now.mono)).clamp(0.5, 2.0);
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        if matches!(run.phase, Phase::Starting | Phase::Unsure) {
+            run.phase = Phase::Running;
+            run.since = now.mono;
+        }
+        if percent > run.progress.0 {
+            run.progress = (percent, now.mono);
+        }
+        if run.phase != Phase::Running {
+            return;
+        }
+        let ran = now.mono.since(run.started);
+        let expected = run.start.estimate.mul_f64(pace);
+        let still = now.mono.since(run.progress.1);
+        let (name, retried, estimate) = (run.start.name, run.start.retried, run.start.estimate);
+        match Health::judge(ran, expected, percent, still) {
+            Verdict::Fine => {}
+            Verdict::Stuck => {
+                self.count_bad(name, retried, now);
+                self.stop_run(key, End::Lost, "stuck", now);
+            }
+            Verdict::TooSlow => {
+                let predicted = ran.mul_f64(100.0 / f64::from(percent.max(1)));
+                self.health.learn(predicted, estimate, now.mono);
+                self.stop_run(key, End::Lost, "too slow here", now);
+            }
+        }
+    }
+
+    /// Handles a started run that the list, asked for at `asked`, does not show.
+    fn missing(&mut self, key: RunKey, asked: Mono, now: Now) {
+        let Some(run) = self.runs.get(key) else {
+            return;
+        };
+        match run.phase {
+            Phase::Queued | Phase::Starting => {}
+            // The start may still be on its way: only an answered stop makes it harmless.
+            Phase::Unsure if asked >= run.since => {
+                self.stop_run(
+                    key,
+                    End::NotStarted(Declined::Unanswered),
+                    "no answer to the start",
+                    now,
+                );
+            }
+            Phase::Unsure => {}
+            Phase::Running if asked >= run.since => self.finish(key, End::Lost, now),
+            Phase::Running => {}
+            Phase::Stopping => {
+                if run.stopped.is_some_and(|at| asked >= at) {
+                    let end = run.on_stopped;
+                    self.finish(key, end, now);
+                }
+            }
+        }
+    }
+
+    /// Handles the answer to a start.
+    pub fn start_answer(&mut self, key: RunKey, answer: StartAnswer, now: Now) {
+        self.expire(now);
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        let name = run.start.name;
+        if run.phase == Phase::Stopping {
+            // The stop has overtaken this answer and decides.
+            return;
+        }
+        match answer {
+            StartAnswer::Started => {
+                if run.phase != Phase::Running {
+                    self.enter(key, Phase::Running, now.mono);
+                }
+                return;
+            }
+            StartAnswer::Fenced => self.raise_token(),
+            StartAnswer::Refused => {}
+            StartAnswer::Unreachable => self.fail_contact(true, now),
+            StartAnswer::Silent => {
+                if run.phase == Phase::Starting {
+                    self.enter(key, Phase::Unsure, now.mono);
+                    self.note(Note::warn("A start got no answer.").with("job", name));
+                    self.actions.push(Action::Probe);
+                }
+                return;
+            }
+        }
+        let note = Note::new("The backend server refused a task.")
+            .with("job", name)
+            .with("answer", format_args!("{answer:?}"));
+        self.note(note);
+        if answer == StartAnswer::Refused {
+            self.count_bad(name, false, now);
+        }
+        self.finish(key, End::NotStarted(Declined::Unreachable), now);
+        self.report_due(now.mono);
+    }
+
+    /// Raises the token above that of an earlier agent.
+    pub fn raise_token(&mut self) {
+        let excess = self.token.saturating_sub(self.last_number).max(TOKEN_STEP);
+        self.token += excess * 2;
+        let note = Note::warn("Raised the fencing token.").with("token", self.token);
+        self.note(note);
+    }
+
+    /// Notes that a hold got no answer; `refused` if nobody listens at the address.
+    pub fn hold_failed(&mut self, refused: bool, now: Now) {
+        self.expire(now);
+        self.fail_contact(refused, now);
+        self.report_due(now.mono);
+    }
+
+    fn fail_contact(&mut self, refused: bool, now: Now) {
+        let Some(backend) = self.backend.as_mut() else {
+            return;
+        };
+        backend.failures += 1;
+        if backend.failures >= FAILURES && !backend.down {
+            backend.down = true;
+            let note = Note::warn("The backend server does not answer.").with("refused", refused);
+            self.note(note);
+            self.decline_queued(now);
+            self.report_all(now.mono);
+        }
+        if refused {
+            // No process listens there, so none runs anything.
+            self.lose_started(now);
+            self.strays.clear();
+        }
+    }
+
+    /// Ends the runs whose lease has certainly lapsed.
+    pub(super) fn expire_backend(&mut self, now: Now) {
+        let Some(sent) = self.backend.as_ref().and_then(|b| b.lease_sent) else {
+            return;
+        };
+        let lapsed = now.mono.since(sent) > self.safety.longest_lease();
+        if lapsed && self.started_runs() > 0 {
+            self.note(Note::warn("The lease at the backend server lapsed."));
+            self.lose_started(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/spool/agent/report.rs
@@ -0,0 +1,189 @@
+//! Connections to entries: what they are told, and how long their tasks may go on.
+
+use std::time::Duration;
+
+use super::super::message::{End, Load, Outcome, Report, Server, Stamp};
+use super::super::note::Note;
+use super::{Action, Agent, LinkKey, Phase, Run, RunKey};
+use crate::time::{Mono, Now};
+
+/// Time between two reports to an entry without tasks here; entries place nothing on an agent
+/// that was silent for most of the silence bound.
+const IDLE_REPORT: Duration = Duration::from_millis(200);
+
+/// Part of the silence bound after which an agent asks an entry for a sign of life.
+const RENEW_PART: f64 = 0.45;
+
+/// Estimated work beyond which more reports do not help placement, in tasks.
+const MANY: u32 = 1_000;
+
+/// A connection to an entry.
+#[derive(Debug, Clone)]
+pub(super) struct Link {
+    pub entry: String,
+    /// Tasks of the entry may run until then.
+    pub permit_until: Mono,
+    pub seen: u64,
+    pub outcomes: Vec<Outcome>,
+    pub last_report: Option<Mono>,
+    pub server_sent: Option<Server>,
+    pub last_load: Load,
+}
+
+impl Agent {
+    /// Notes a new connection to an entry.
+    pub fn connect(&mut self, entry: &str, now: Now) -> LinkKey {
+        let note = Note::new("Connected to an entry.").with("entry", entry);
+        self.note(note);
+        let key = self.links.insert(Link {
+            entry: entry.to_owned(),
+            permit_until: Mono(0),
+            seen: 0,
+            outcomes: Vec::new(),
+            last_report: None,
+            server_sent: None,
+            last_load: Load::default(),
+        });
+        self.report(key, now.mono);
+        key
+    }
+
+    /// Notes the end of a connection: everything that came over it stops.
+    pub fn disconnect(&mut self, link: LinkKey, now: Now) {
+        let Some(gone) = self.links.remove(link) else {
+            return;
+        };
+        let note = Note::warn("Lost the connection to an entry.").with("entry", &gone.entry);
+        self.note(note);
+        self.stop_link(link, "connection lost", now);
+    }
+
+    /// Stops what came over a link and forgets whom to tell.
+    fn stop_link(&mut self, link: LinkKey, reason: &'static str, now: Now) {
+        let keys: Vec<RunKey> = self
+            .runs
+            .iter()
+            .filter(|(_key, run)| run.link == Some(link))
+            .map(|(key, _run)| key)
+            .collect();
+        for key in keys {
+            self.stop_run(key, End::Lost, reason, now);
+            if !self.links.contains_key(link)
+                && let Some(run) = self.runs.get_mut(key)
+            {
+                run.link = None;
+            }
+        }
+    }
+
+    /// Stops the tasks of entries that were silent for too long.
+    pub(super) fn expire_links(&mut self, now: Now) {
+        let silent: Vec<LinkKey> = self
+            .links
+            .iter()
+            .filter(|(_key, link)| link.permit_until <= now.mono)
+            .map(|(key, _link)| key)
+            .collect();
+        for link in silent {
+            self.stop_link(link, "entry silent", now);
+        }
+    }
+
+    pub(super) fn is_link_alive(&self, run: &Run, now: Mono) -> bool {
+        run.link
+            .and_then(|link| self.links.get(link))
+            .is_some_and(|link| link.permit_until > now)
+    }
+
+    /// Sends the reports that are due.
+    pub(super) fn report_due(&mut self, now: Mono) {
+        let all = self.report_all_at.is_some_and(|at| at <= now);
+        if all {
+            self.report_all_at = None;
+        }
+        let load = self.load(now);
+        let keys: Vec<LinkKey> = self.links.keys().collect();
+        for key in keys {
+            let link = &self.links[key];
+            let age = link.last_report.map(|at| now.since(at));
+            let idle = age.is_none_or(|age| age >= IDLE_REPORT);
+            let changed = all && is_news(&link.last_load, &load);
+            let renew = self.needs_renewal(key, now)
+                && age.is_none_or(|age| age >= self.safety.silence.mul_f64(RENEW_PART / 2.0));
+            if idle || changed || renew || !link.outcomes.is_empty() {
+                self.report(key, now);
+            }
+        }
+    }
+
+    /// Returns whether tasks of the entry would soon outlive its permit.
+    fn needs_renewal(&self, key: LinkKey, now: Mono) -> bool {
+        let link = &self.links[key];
+        let soon = now.plus(self.safety.silence.mul_f64(1.0 - RENEW_PART));
+        link.permit_until <= soon
+            && self
+                .runs
+                .values()
+                .any(|run| run.link == Some(key) && run.phase != Phase::Stopping)
+    }
+
+    fn load(&self, now: Mono) -> Load {
+        let waiting = || self.runs.values().filter(|run| run.phase == Phase::Queued);
+        let queued = waiting()
+            .map(|run| u64::from(run.start.needs.cpu) * run.start.estimate.as_millis() as u64)
+            .sum();
+        let open = if self.is_open() && !self.is_stop_stuck(now) && self.strays.is_empty() {
+            let most = self.health.open(self.started_runs(), now).min(MANY);
+            most.saturating_sub(waiting().count() as u32)
+        } else {
+            0
+        };
+        let free = waiting().fold(self.free(), |free, run| free.without(&run.start.needs));
+        Load {
+            free,
+            queued,
+            open,
+            pace: self.health.pace(now),
+        }
+    }
+
+    fn report(&mut self, key: LinkKey, now: Mono) {
+        let load = self.load(now);
+        let server = self.backend.as_ref().map(|backend| Server {
+            ready: self.is_open(),
+            ..backend.server()
+        });
+        let swept = self.swept;
+        let link = &self.links[key];
+        let owes = |run: &Run| run.entry == link.entry && run.link != Some(key);
+        let cleared = swept && self.strays.is_empty() && !self.runs.values().any(owes);
+        let link = &mut self.links[key];
+        link.last_report = Some(now);
+        link.last_load = load;
+        let server = if server == link.server_sent {
+            None
+        } else {
+            link.server_sent.clone_from(&server);
+            server
+        };
+        let report = Report {
+            stamp: Stamp(now.0),
+            seen: link.seen,
+            cleared,
+            server,
+            load,
+            outcomes: std::mem::take(&mut link.outcomes),
+        };
+        self.actions.push(Action::Report(key, report));
+    }
+}
+
+/// Returns whether an entry would place differently knowing the new load.
+fn is_news(old: &Load, new: &Load) -> bool {
+    let opened = (old.open == 0) != (new.open == 0);
+    let room = (old.free.cpu < new.free.cpu && old.queued > 0) || (old.free.cpu < LITTLE_CPU);
+    opened || (room && old.free.cpu != new.free.cpu)
+}
+
+/// Room below which each change counts: about two tasks of the largest usual size.
+const LITTLE_CPU: u32 = 4_600;
--- /dev/null
+++ b/crates/core/src/spool/entry.rs
@@ -0,0 +1,270 @@
+//! Decisions of an entry: takes jobs, chooses agents for their tasks, answers the callers.
+//!
+//! Methods record [`Action`]s, which the edge carries out in order. Expiries are handled before
+//! anything else, so that a process that was suspended acts on no outdated state.
+
+mod admission;
+mod agents;
+mod dispatch;
+mod estimate;
+mod jobs;
+pub mod placement;
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use slotmap::{SlotMap, new_key_type};
+use smallvec::SmallVec;
+
+use super::catalogue::{Queue, Snapshot};
+use super::job::{Id, Request};
+use super::message::{Member, Order, Ticket};
+use super::note::Note;
+use super::safety::Safety;
+use crate::time::{Mono, Now};
+
+pub use admission::{Backlog, admit};
+pub use estimate::Estimates;
+
+use agents::Agent;
+use dispatch::Rank;
+
+new_key_type! {
+    /// A job whose caller waits.
+    pub struct JobKey;
+    /// Connection to an agent.
+    pub struct LinkKey;
+    /// A task of a job.
+    pub struct TaskKey;
+}
+
+/// Why a job was turned away before any of its tasks ran.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, strum::Display, strum::IntoStaticStr, strum::EnumIter,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Refusal {
+    /// No catalogue is known yet.
+    NoCatalogue,
+    /// The backlog leaves no time for it.
+    Overloaded,
+    /// It waited and its time has run out.
+    WaitedTooLong,
+    /// No backend server of the service can run it.
+    NoBackend,
+    /// It asks for something that this entry does not offer.
+    Unsupported,
+    /// The entry is being stopped.
+    Stopping,
+}
+
+/// The answer to a caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answer {
+    /// All tasks have ended well.
+    Completed,
+    /// A task has failed as often as its queue allows.
+    Failed,
+    /// Nothing of the job has run or will run.
+    Refused {
+        /// Why.
+        reason: Refusal,
+        /// When it is worth coming back.
+        retry_after: Duration,
+    },
+    /// Its time is over; something of it may have run.
+    Expired,
+}
+
+/// What the edge has to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Answer the caller of a job.
+    Answer(JobKey, Answer),
+    /// Send an order to an agent.
+    Order(LinkKey, Order),
+    /// Write a log line.
+    Note(Note),
+}
+
+/// Where a task stands.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Place {
+    /// An earlier step has to end first.
+    Blocked,
+    /// Waits for an agent.
+    Waiting(Rank),
+    /// An agent has it.
+    Sent { link: LinkKey, ticket: Ticket },
+    /// The connection of its agent was lost; it may still run there until then.
+    Orphan { agent: u32, until: Mono },
+    /// It has ended well.
+    Done,
+}
+
+#[derive(Debug)]
+struct Task {
+    job: JobKey,
+    step: u16,
+    index: u32,
+    place: Place,
+    /// Runs that have failed.
+    failures: u32,
+    /// Agents, by number, on which it failed or got lost.
+    tried: SmallVec<[u32; 4]>,
+}
+
+#[derive(Debug)]
+struct Job {
+    id: Id,
+    queue: Queue,
+    request: Request,
+    tasks: Vec<TaskKey>,
+    left: usize,
+    arrived: Mono,
+    /// Answered at the latest then.
+    deadline: Mono,
+    /// Whether a task has been sent to an agent.
+    offered: bool,
+    /// Whether a task may have run.
+    started: bool,
+}
+
+/// The decisions and all state of one entry.
+#[derive(Debug)]
+pub struct Entry {
+    safety: Safety,
+    catalogue: Option<Arc<Snapshot>>,
+    members: Vec<Member>,
+    members_version: u64,
+    jobs: SlotMap<JobKey, Job>,
+    tasks: SlotMap<TaskKey, Task>,
+    sent: HashMap<Ticket, TaskKey>,
+    last_ticket: u64,
+    agents: SlotMap<LinkKey, Agent>,
+    /// Numbers of agents by name, so that tasks remember where they failed.
+    numbers: HashMap<String, u32>,
+    waiting: BTreeSet<(Rank, TaskKey)>,
+    estimates: Estimates,
+    random: SmallRng,
+    stopping: bool,
+    actions: Vec<Action>,
+}
+
+impl Entry {
+    /// Makes an entry that knows no agent and no catalogue.
+    pub fn new(me: Member, safety: Safety, seed: u64) -> Self {
+        Self {
+            safety,
+            catalogue: None,
+            members: vec![me],
+            members_version: 1,
+            jobs: SlotMap::with_key(),
+            tasks: SlotMap::with_key(),
+            sent: HashMap::new(),
+            last_ticket: 0,
+            agents: SlotMap::with_key(),
+            numbers: HashMap::new(),
+            waiting: BTreeSet::new(),
+            estimates: Estimates::default(),
+            random: SmallRng::seed_from_u64(seed),
+            stopping: false,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes the actions recorded since the last call.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns the catalogue in force here.
+    pub fn catalogue(&self) -> Option<&Arc<Snapshot>> {
+        self.catalogue.as_ref()
+    }
+
+    /// Takes a catalogue into force unless it is older than the one known.
+    pub fn set_catalogue(&mut self, catalogue: Arc<Snapshot>, source: &'static str, now: Now) {
+        self.expire(now);
+        let known = self.catalogue.as_ref().map_or(0, |known| known.version);
+        if catalogue.version <= known {
+            return;
+        }
+        let note = Note::new("A catalogue is in force.")
+            .with("version", catalogue.version)
+            .with("previous", known)
+            .with("queues", catalogue.queues.len())
+            .with("out_of_service", catalogue.out_of_service.join(","))
+            .with("source", source);
+        self.note(note);
+        self.catalogue = Some(catalogue);
+        self.dispatch(now);
+    }
+
+    /// Returns the entries known, this one first.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// Notes other entries; returns whether one was new.
+    pub fn learn_members(&mut self, members: &[Member]) -> bool {
+        let before = self.members.len();
+        for member in members {
+            if !self.members.contains(member) {
+                let note = Note::new("Learned of an entry.")
+                    .with("entry", &member.name)
+                    .with("address", member.address);
+                self.note(note);
+                self.members.push(member.clone());
+            }
+        }
+        let grew = self.members.len() > before;
+        self.members_version += u64::from(grew);
+        grew
+    }
+
+    /// Returns whether callers are served: a catalogue and an agent are known.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping && self.catalogue.is_some() && !self.agents.is_empty()
+    }
+
+    /// Starts the planned stop: the jobs here end, and callers on open connections go on.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Returns whether the planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping
+    }
+
+    /// Returns the number of jobs whose callers wait.
+    pub fn open_jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Returns the number of jobs of a queue of which nothing was sent to an agent.
+    pub fn waiting_jobs(&self, queue: &str) -> usize {
+        let waits = |job: &&Job| !job.offered && &*job.queue.name == queue;
+        self.jobs.values().filter(waits).count()
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Now) {
+        self.expire(now);
+        self.dispatch(now);
+        self.renew_agents(now.mono);
+    }
+
+    fn expire(&mut self, now: Now) {
+        self.expire_jobs(now);
+        self.expire_orphans(now);
+    }
+
+    fn note(&mut self, note: Note) {
+        self.actions.push(Action::Note(note));
+    }
+}
--- /dev/null
+++ b/crates/core/src/spool/entry/agents.rs
@@ -0,0 +1,320 @@
+//! Agents: their connections, reports and the outcomes of tasks.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::super::job::Resources;
+use super::super::message::{
+    AgentHello, Declined, End, Load, Order, Outcome, Report, Server, Stamp, Start, Ticket,
+};
+use super::super::note::Note;
+use super::{Action, Entry, LinkKey, Place, TaskKey};
+use crate::time::{Mono, Now};
+
+/// Part of the silence bound after which an agent without reports gets no new task.
+const FRESH_PART: f64 = 0.8;
+
+/// Pause between two signs of life to an agent; it asks about every 90 ms.
+const RENEW_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time after which an agent without our tasks gets a sign of life, so that it can tell a silent
+/// connection from an idle one.
+const IDLE_PAUSE: Duration = Duration::from_millis(400);
+
+/// What was sent and is not yet in a report.
+#[derive(Debug, Clone, Copy)]
+struct Pending {
+    sequence: u64,
+    needs: Resources,
+    work: f64,
+}
+
+/// A connected agent.
+#[derive(Debug)]
+pub(super) struct Agent {
+    pub name: String,
+    pub number: u32,
+    pub data_centre: String,
+    pub server: Option<Server>,
+    pub load: Load,
+    stamp: Option<Stamp>,
+    heard: Mono,
+    sequence: u64,
+    order_sent: Mono,
+    out_of_service_sent: u64,
+    members_sent: u64,
+    pending: VecDeque<Pending>,
+    pub sent: usize,
+}
+
+impl Agent {
+    /// Returns the room left after everything sent.
+    pub fn free(&self) -> Resources {
+        self.pending
+            .iter()
+            .fold(self.load.free, |free, pending| free.without(&pending.needs))
+    }
+
+    /// Returns the work that waits there, with what was sent beyond its room.
+    pub fn queued(&self) -> f64 {
+        let sent: f64 = self.pending.iter().map(|pending| pending.work).sum();
+        let beyond = if self.free().cpu == 0 { sent } else { 0.0 };
+        self.load.queued as f64 + beyond
+    }
+
+    /// Counts a task that goes along with the next order.
+    pub fn reserve(&mut self, start: &Start) {
+        self.sent += 1;
+        self.pending.push_back(Pending {
+            sequence: self.sequence + 1,
+            needs: start.needs,
+            work: f64::from(start.needs.cpu) * start.estimate.as_secs_f64() * 1_000.0,
+        });
+    }
+
+    /// Returns the time since the last report.
+    pub fn silence(&self, now: Mono) -> Duration {
+        now.since(self.heard)
+    }
+
+    /// Returns how many more tasks it takes.
+    pub fn open(&self) -> u32 {
+        self.load.open.saturating_sub(self.pending.len() as u32)
+    }
+}
+
+impl Entry {
+    /// Notes a new connection of an agent.
+    pub fn connect(&mut self, hello: AgentHello, now: Now) -> LinkKey {
+        let next = self.numbers.len() as u32;
+        let number = *self.numbers.entry(hello.name.clone()).or_insert(next);
+        let note = Note::new("An agent connected.")
+            .with("agent", &hello.name)
+            .with("data_centre", &hello.data_centre);
+        self.note(note);
+        self.agents.insert(Agent {
+            name: hello.name,
+            number,
+            data_centre: hello.data_centre,
+            server: None,
+            load: Load::default(),
+            stamp: None,
+            heard: now.mono,
+            sequence: 0,
+            order_sent: Mono(0),
+            out_of_service_sent: 0,
+            members_sent: 0,
+            pending: VecDeque::new(),
+            sent: 0,
+        })
+    }
+
+    /// Notes the end of a connection. Its tasks may run on until the safety bound has passed or
+    /// the agent says that they are gone.
+    pub fn disconnect(&mut self, link: LinkKey, now: Now) {
+        self.expire(now);
+        let Some(agent) = self.agents.remove(link) else {
+            return;
+        };
+        let until = now.mono.plus(self.safety.longest_overrun());
+        let mut orphans = 0;
+        for task in self.tasks.values_mut() {
+            if let Place::Sent { link: at, ticket } = task.place
+                && at == link
+            {
+                self.sent.remove(&ticket);
+                task.place = Place::Orphan {
+                    agent: agent.number,
+                    until,
+                };
+                self.jobs[task.job].started = true;
+                orphans += 1;
+            }
+        }
+        let note = Note::warn("Lost the connection of an agent.")
+            .with("agent", &agent.name)
+            .with("tasks", orphans)
+            .with("silent_ms", now.mono.since(agent.heard).as_millis());
+        self.note(note);
+        self.dispatch(now);
+    }
+
+    /// Handles a report.
+    pub fn report(&mut self, link: LinkKey, report: Report, now: Now) {
+        self.expire(now);
+        let Some(agent) = self.agents.get_mut(link) else {
+            return;
+        };
+        agent.heard = now.mono;
+        agent.stamp = Some(report.stamp);
+        agent.load = report.load;
+        while agent
+            .pending
+            .front()
+            .is_some_and(|p| p.sequence <= report.seen)
+        {
+            agent.pending.pop_front();
+        }
+        let (number, pace) = (agent.number, report.load.pace);
+        if let Some(server) = report.server {
+            let note = Note::new("A backend server's state changed.")
+                .with("agent", &agent.name)
+                .with("service", &server.service)
+                .with("ready", server.ready)
+                .with("cpu", server.capacity.cpu);
+            agent.server = Some(server);
+            self.note(note);
+        }
+        if report.cleared {
+            self.release_orphans(now, |agent, _until| agent == number);
+        }
+        for outcome in report.outcomes {
+            self.outcome(link, number, pace, outcome, now);
+        }
+        self.dispatch(now);
+        self.renew(link, now.mono);
+    }
+
+    fn outcome(&mut self, link: LinkKey, agent: u32, pace: f32, outcome: Outcome, now: Now) {
+        let Some(key) = self.sent.remove(&outcome.ticket) else {
+            return;
+        };
+        if let Some(agent) = self.agents.get_mut(link) {
+            agent.sent -= 1;
+        }
+        let task = &self.tasks[key];
+        let job = &self.jobs[task.job];
+        match outcome.end {
+            End::Done => {
+                let queue = std::sync::Arc::clone(&job.queue.name);
+                self.estimates.learn(&queue, outcome.ran, pace);
+                self.complete(key, now);
+            }
+            End::Failed => {
+                self.note_retry(key, agent, "failed", now);
+                self.fail(key, agent, now);
+            }
+            End::Lost => {
+                self.note_retry(key, agent, "lost", now);
+                self.lose(key, agent);
+            }
+            End::NotStarted(reason) => {
+                self.note_retry(key, agent, reason.into(), now);
+                if matches!(reason, Declined::Unreachable | Declined::Unanswered) {
+                    self.tasks[key].tried.push(agent);
+                }
+                self.wait_again(key);
+            }
+        }
+    }
+
+    fn note_retry(&mut self, key: TaskKey, agent: u32, reason: &'static str, now: Now) {
+        let task = &self.tasks[key];
+        let job = &self.jobs[task.job];
+        let note = Note::new("A task goes elsewhere.")
+            .with(
+                "job",
+                format_args!("{}/{}/{}", job.id, task.step, task.index),
+            )
+            .with("reason", reason)
+            .with("agent", agent)
+            .with("failures", task.failures)
+            .with("age_ms", now.mono.since(job.arrived).as_millis());
+        self.note(note);
+    }
+
+    /// Lets orphans run elsewhere once it is certain that they do not run any more.
+    fn release_orphans<F>(&mut self, now: Now, is_gone: F)
+    where
+        F: Fn(u32, Mono) -> bool,
+    {
+        let gone: Vec<(TaskKey, u32)> = self
+            .tasks
+            .iter()
+            .filter_map(|(key, task)| match task.place {
+                Place::Orphan { agent, until } if is_gone(agent, until) => Some((key, agent)),
+                _ => None,
+            })
+            .collect();
+        for (key, agent) in gone {
+            self.note_retry(key, agent, "connection lost", now);
+            self.lose(key, agent);
+        }
+    }
+
+    pub(super) fn expire_orphans(&mut self, now: Now) {
+        self.release_orphans(now, |_agent, until| until <= now.mono);
+    }
+
+    /// Returns whether an agent is known well enough to get a task.
+    pub(super) fn is_fresh(&self, agent: &Agent, now: Mono) -> bool {
+        let bound = self.safety.silence.mul_f64(FRESH_PART);
+        agent.stamp.is_some() && now.since(agent.heard) < bound
+    }
+
+    /// Answers an agent that has tasks of ours with a sign of life.
+    fn renew(&mut self, link: LinkKey, now: Mono) {
+        let Some(agent) = self.agents.get(link) else {
+            return;
+        };
+        let news = self.news_for(agent);
+        let pause = if agent.sent > 0 {
+            RENEW_PAUSE
+        } else {
+            IDLE_PAUSE
+        };
+        if news || now.since(agent.order_sent) >= pause {
+            if let Some(agent) = self.agents.get_mut(link) {
+                agent.order_sent = now;
+            }
+            self.send(link, Vec::new(), Vec::new());
+        }
+    }
+
+    fn news_for(&self, agent: &Agent) -> bool {
+        let version = self.catalogue.as_ref().map_or(0, |known| known.version);
+        agent.out_of_service_sent < version || agent.members_sent < self.members_version
+    }
+
+    /// Tells all agents what has changed.
+    pub(super) fn renew_agents(&mut self, now: Mono) {
+        let behind: Vec<LinkKey> = self
+            .agents
+            .iter()
+            .filter(|(_key, agent)| self.news_for(agent))
+            .map(|(key, _agent)| key)
+            .collect();
+        for link in behind {
+            self.renew(link, now);
+        }
+    }
+
+    /// Sends an order, with whatever else the agent has to know.
+    pub(super) fn send(&mut self, link: LinkKey, starts: Vec<Start>, cancels: Vec<Ticket>) {
+        let Some(agent) = self.agents.get_mut(link) else {
+            return;
+        };
+        agent.sequence += 1;
+        let sequence = agent.sequence;
+        agent.sent = agent.sent.saturating_sub(cancels.len());
+        let out_of_service = self
+            .catalogue
+            .as_ref()
+            .filter(|known| known.version > agent.out_of_service_sent)
+            .map(|known| (known.version, known.out_of_service.clone()));
+        if let Some((version, _list)) = &out_of_service {
+            agent.out_of_service_sent = *version;
+        }
+        let members = (agent.members_sent < self.members_version).then(|| self.members.clone());
+        agent.members_sent = self.members_version;
+        let order = Order {
+            echo: agent.stamp,
+            sequence,
+            starts,
+            cancels,
+            out_of_service,
+            members,
+        };
+        self.actions.push(Action::Order(link, order));
+    }
+}
--- /dev/null
+++ b/crates/core/src/spool/entry/dispatch.rs
@@ -0,0 +1,200 @@
+//! From the waiting tasks to the agents.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use rand::Rng;
+
+use super::super::job::{Step, TaskName};
+use super::super::message::{Server, Start, Ticket};
+use super::super::note::Note;
+use super::agents::Agent;
+use super::placement::{Candidate, Demand, cost};
+use super::{Entry, Job, LinkKey, Place, Task, TaskKey};
+use crate::time::{Mono, Now};
+
+/// Tasks in a row without a place after which a round ends: those behind need as much.
+const FAILURES: usize = 12;
+
+/// Random part of the cost in seconds, so that several entries do not choose alike.
+const JITTER: f64 = 0.004;
+
+/// Factor on the run time of a task away from its data, until the deployment says otherwise.
+const FAR: f64 = 1.5;
+
+/// Order among waiting tasks: on time before late, then by the latest start that meets the
+/// objective, then by rank of the queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Rank {
+    pub late: bool,
+    pub latest_start: Mono,
+    pub priority: u8,
+}
+
+impl Entry {
+    /// Sends what has a place, most urgent first, in one order for each agent.
+    pub(super) fn dispatch(&mut self, now: Now) {
+        self.demote(now.mono);
+        let mut orders: BTreeMap<LinkKey, Vec<Start>> = BTreeMap::new();
+        let mut failures = 0;
+        let round: Vec<(Rank, TaskKey)> = self.waiting.iter().copied().collect();
+        for (rank, key) in round {
+            if failures >= FAILURES {
+                break;
+            }
+            let Some(link) = self.choose(key, rank, now.mono) else {
+                failures += 1;
+                continue;
+            };
+            self.waiting.remove(&(rank, key));
+            let start = self.start(key, rank, link, now.mono);
+            orders.entry(link).or_default().push(start);
+        }
+        for (link, starts) in orders {
+            self.send(link, starts, Vec::new());
+        }
+    }
+
+    /// Moves tasks that have missed their latest start behind those that can still meet it.
+    fn demote(&mut self, now: Mono) {
+        while let Some(&(rank, key)) = self.waiting.first()
+            && !rank.late
+            && rank.latest_start < now
+        {
+            self.waiting.pop_first();
+            let late = Rank { late: true, ..rank };
+            self.wait(key, late);
+        }
+    }
+
+    /// Returns the best agent for a task.
+    fn choose(&mut self, key: TaskKey, rank: Rank, now: Mono) -> Option<LinkKey> {
+        let task = &self.tasks[key];
+        let job = &self.jobs[task.job];
+        let step = &job.request.steps[usize::from(task.step)];
+        let run = self.run_time(job, step);
+        let last_useful_end = if rank.late {
+            self.useful_until(job)
+        } else {
+            rank.latest_start.plus(run)
+        };
+        let demand = Demand {
+            needs: step.needs,
+            run,
+            left: last_useful_end.since(now),
+            late: rank.late,
+        };
+        let mut best: Option<(f64, LinkKey)> = None;
+        for (link, agent) in &self.agents {
+            let Some(server) = self.usable(agent, job, now) else {
+                continue;
+            };
+            if !has_label(server, step) || !self.may_spread(task, step, link) {
+                continue;
+            }
+            let candidate = Candidate {
+                capacity: server.capacity,
+                free: agent.free(),
+                queued: agent.queued(),
+                pace: f64::from(agent.load.pace),
+                tried: task.tried.contains(&agent.number),
+                distance: distance(server, step),
+            };
+            let Some(cost) = cost(&candidate, &demand) else {
+                continue;
+            };
+            let cost = cost + self.random.random::<f64>() * JITTER;
+            if best.is_none_or(|(least, _link)| cost < least) {
+                best = Some((cost, link));
+            }
+        }
+        best.map(|(_cost, link)| link)
+    }
+
+    /// Returns the server of an agent if tasks of the job may go there now.
+    fn usable<'a>(&self, agent: &'a Agent, job: &Job, now: Mono) -> Option<&'a Server> {
+        let server = agent.server.as_ref()?;
+        let out_of_service = self
+            .catalogue
+            .as_ref()
+            .is_some_and(|known| known.out_of_service.contains(&agent.data_centre));
+        let usable = server.ready
+            && server.service == job.queue.service
+            && !out_of_service
+            && agent.open() > 0
+            && self.is_fresh(agent, now);
+        usable.then_some(server)
+    }
+
+    /// Returns whether the server may get one more task of the step.
+    fn may_spread(&self, task: &Task, step: &Step, link: LinkKey) -> bool {
+        let Some(most) = step.spread else {
+            return true;
+        };
+        let there = |key: &&TaskKey| {
+            let other = &self.tasks[**key];
+            other.step == task.step
+                && matches!(other.place, Place::Sent { link: at, .. } if at == link)
+        };
+        let count = self.jobs[task.job].tasks.iter().filter(there).count();
+        count < most as usize
+    }
+
+    /// Gives a task to an agent.
+    fn start(&mut self, key: TaskKey, rank: Rank, link: LinkKey, now: Mono) -> Start {
+        self.last_ticket += 1;
+        let ticket = Ticket(self.last_ticket);
+        let task = &mut self.tasks[key];
+        task.place = Place::Sent { link, ticket };
+        self.sent.insert(ticket, key);
+        let task = &self.tasks[key];
+        let job = &mut self.jobs[task.job];
+        job.offered = true;
+        let job = &self.jobs[task.job];
+        let step = &job.request.steps[usize::from(task.step)];
+        let start = Start {
+            ticket,
+            name: TaskName {
+                job: job.id,
+                step: task.step,
+                index: task.index,
+            },
+            spec: Arc::clone(&job.request.spec),
+            needs: step.needs,
+            estimate: self.run_time(job, step),
+            slack_us: rank.latest_start.0 as i64 - now.0 as i64,
+            priority: rank.priority,
+            retried: task.failures > 0,
+            service: Arc::clone(&job.queue.service),
+        };
+        let waiting = self.waiting.len();
+        let waited = now.since(job.arrived).as_millis();
+        let agent = &mut self.agents[link];
+        agent.reserve(&start);
+        let note = Note::new("Sent a task.")
+            .with("job", start.name)
+            .with("agent", &agent.name)
+            .with("age_ms", waited)
+            .with("slack_ms", start.slack_us / 1_000)
+            .with("free_cpu", agent.load.free.cpu)
+            .with("pace", agent.load.pace)
+            .with("heard_ms", agent.silence(now).as_millis())
+            .with("waiting", waiting);
+        self.note(note);
+        start
+    }
+}
+
+fn has_label(server: &Server, step: &Step) -> bool {
+    step.label
+        .as_ref()
+        .is_none_or(|label| server.labels.iter().any(|own| **own == **label))
+}
+
+/// Returns the factor on the run time of a task whose data may be elsewhere.
+fn distance(server: &Server, step: &Step) -> f64 {
+    match &step.rack {
+        Some(rack) if !server.labels.iter().any(|own| **own == **rack) => FAR,
+        _ => 1.0,
+    }
+}
--- /dev/null
+++ b/crates/core/src/spool/entry/placement.rs
@@ -0,0 +1,85 @@
+//! Which agent gets a task.
+//!
+//! Load pattern: servers of unlike speed at two thirds of their capacity and above, chosen by
+//! several entries at once. The smallest expected end wins; an almost full server counts as worse,
+//! because another entry may take its last room at the same moment.
+
+use std::time::Duration;
+
+use super::super::job::Resources;
+
+/// Longest expected wait in an agent's own queue, enough to hide the way from the entry.
+const LONGEST_QUEUE: Duration = Duration::from_millis(25);
+
+/// Cost of the last rooms of a server, in seconds: a collision with another entry there costs
+/// about the rest of a short task.
+const CROWDED: f64 = 0.030;
+
+/// Rooms for tasks of this size below which a server counts as crowded.
+const ROOMS: f64 = 3.0;
+
+/// Part of a server that late tasks leave free for those that can still be on time.
+const LATE_RESERVE: f64 = 0.15;
+
+/// Cost in seconds of a server where the same task has failed before.
+const TRIED: f64 = 1.0;
+
+/// What is known of a candidate.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// All that the server has.
+    pub capacity: Resources,
+    /// Room, less what was sent and is not yet in a report.
+    pub free: Resources,
+    /// Work waiting there, in milliseconds x thousandths of a core.
+    pub queued: f64,
+    /// Run time there against the estimates.
+    pub pace: f64,
+    /// Whether the task has failed there before.
+    pub tried: bool,
+    /// How much longer the task takes there because its data is elsewhere.
+    pub distance: f64,
+}
+
+/// What the task is like.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Demand {
+    /// What it needs.
+    pub needs: Resources,
+    /// Expected run time on a server of usual speed.
+    pub run: Duration,
+    /// Time until its last useful end.
+    pub left: Duration,
+    /// Whether it has missed its objective already.
+    pub late: bool,
+}
+
+/// Returns the cost of a candidate in seconds, `None` if it is of no use.
+pub fn cost(candidate: &Candidate, demand: &Demand) -> Option<f64> {
+    if !candidate.capacity.fits(&demand.needs) {
+        return None;
+    }
+    let needed = f64::from(demand.needs.cpu.max(1));
+    let free = f64::from(candidate.free.cpu);
+    let wait = if candidate.free.fits(&demand.needs) {
+        0.0
+    } else {
+        (candidate.queued + demand.run.as_secs_f64() * 500.0 * needed)
+            / f64::from(candidate.capacity.cpu.max(1))
+            / 1_000.0
+    };
+    if wait > LONGEST_QUEUE.as_secs_f64() {
+        return None;
+    }
+    let capacity = f64::from(candidate.capacity.cpu);
+    if demand.late && free - needed < capacity * LATE_RESERVE {
+        return None;
+    }
+    let run = demand.run.as_secs_f64() * candidate.pace * candidate.distance;
+    if wait + run > demand.left.as_secs_f64() {
+        return None;
+    }
+    let crowd = CROWDED * (1.0 - free / needed / ROOMS).max(0.0);
+    let tried = if candidate.tried { TRIED } else { 0.0 };
+    Some(wait + run + crowd + tried)
+}
--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -12,6 +12,7 @@
 
 use crate::serve;
 use crate::settings::Settings;
+use crate::spool;
 
 /// Returns the command line.
 pub fn command() -> Command {
@@ -23,12 +24,21 @@
                 .action(ArgAction::SetTrue)
                 .help("Check the settings and exit"),
         );
+    let spool = Command::new("spool")
+        .about("Take jobs that need not be kept and dispatch their tasks, on one thread")
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings and exit"),
+        );
     let command = Command::new("ibisspool")
         .about("Dispatcher for sub-second tasks")
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .subcommand(Settings::add_flags(serve));
+        .subcommand(Settings::add_flags(serve))
+        .subcommand(spool::Settings::add_flags(spool));
     operate::add_commands(command)
 }
 
@@ -46,6 +56,12 @@
     };
     match matches.subcommand() {
         Some(("serve", matches)) => run_serve(matches),
+        Some(("spool", matches)) => run::run(
+            spool::Settings::read(matches),
+            matches.get_flag("check"),
+            run::own_logs,
+            spool::run,
+        ),
         _ => operate::run(&matches),
     }
 }
@@ -54,7 +70,7 @@
     run::run(
         Settings::read(matches),
         matches.get_flag("check"),
-        |settings| (settings.log_format, &settings.log_level),
+        |settings| Some((settings.log_format, &settings.log_level)),
         serve::run,
     )
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod secret;
 pub mod serve;
 pub mod settings;
+pub mod spool;
 pub mod store;
--- /dev/null
+++ b/crates/entry/src/spool.rs
@@ -0,0 +1,103 @@
+//! Runs an entry for jobs that need not be kept: all on one thread.
+
+mod callers;
+mod follow;
+mod hub;
+mod links;
+mod metrics;
+mod settings;
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result};
+use ibisspool_kernel::log::Batch;
+use ibisspool_kernel::spool::{self as common, Signals};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+use hub::Hub;
+pub use settings::Settings;
+
+/// Time between two rounds of the decisions while jobs are open.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Time for the platform to notice that this entry takes no new connections: two checks a second
+/// apart, and one that was just answered.
+const NOTICE: Duration = Duration::from_millis(3_200);
+
+/// Time left at the end of the grace for the last answers to leave.
+const LAST_ANSWERS: Duration = Duration::from_millis(300);
+
+/// Runs an entry until a signal stops it.
+///
+/// # Errors
+/// Fails if it cannot start.
+pub fn run(settings: &Settings) -> Result<()> {
+    let logs = Batch::start(&settings.common.log_level);
+    let served = common::block_on(serve(settings.clone(), logs.clone()));
+    if let Err(error) = &served {
+        log::error!("serve: {error:#}.");
+    }
+    logs.finish();
+    served
+}
+
+async fn serve(settings: Settings, logs: Batch) -> Result<()> {
+    let common = &settings.common;
+    log::info!(
+        "serve: Entry starts. name={} data_centre={} listen={} peers={}",
+        common.name,
+        common.data_centre,
+        settings.listen,
+        settings.peer_listen
+    );
+    common::warn_of(&common.safety);
+    let hub = Hub::new(&settings);
+    let callers = bind(settings.listen, "callers").await?;
+    let ready = bind(settings.ready_listen, "readiness").await?;
+    let peers = bind(settings.peer_listen, "agents and entries").await?;
+
+    spawn_local(common::flush_logs(logs));
+    spawn_local(common::serve_metrics(common.metrics, hub.metrics()));
+    spawn_local(callers::serve(callers, Rc::clone(&hub)));
+    spawn_local(callers::serve_readiness(ready, Rc::clone(&hub)));
+    spawn_local(links::serve(peers, Rc::clone(&hub)));
+    spawn_local(links::dial_members(
+        Rc::clone(&hub),
+        common.seed_peers().collect(),
+    ));
+    spawn_local(follow::catalogue(Rc::clone(&hub), common.store));
+    spawn_local(follow::members(Rc::clone(&hub), common.store));
+    spawn_local(tick(Rc::clone(&hub)));
+
+    Signals::new()?.stop().await;
+    stop(&hub, common.grace).await;
+    Ok(())
+}
+
+async fn bind(address: std::net::SocketAddr, whom: &str) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("cannot listen for {whom} on {address}; is it in use?"))
+}
+
+async fn tick(hub: Rc<Hub>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        hub.tick();
+    }
+}
+
+/// Finishes what was taken. Open connections are served until their callers leave.
+async fn stop(hub: &Hub, grace: Duration) {
+    let began = Instant::now();
+    hub.stop();
+    log::info!("serve: Planned stop. jobs={}", hub.open_jobs());
+    let latest = grace.saturating_sub(LAST_ANSWERS);
+    let earliest = NOTICE.min(latest);
+    while began.elapsed() < latest && (began.elapsed() < earliest || hub.open_jobs() > 0) {
+        tokio::time::sleep(TICK).await;
+    }
+    log::info!("serve: Stopped. jobs={}", hub.open_jobs());
+}
--- /dev/null
+++ b/crates/entry/src/spool/hub.rs
@@ -0,0 +1,203 @@
+//! Holds the decisions of an entry and carries out their actions.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use ibisspool_core::spool::catalogue::{Queue, Snapshot};
+use ibisspool_core::spool::entry::{Action, Answer, Entry, JobKey, LinkKey};
+use ibisspool_core::spool::job::Request;
+use ibisspool_core::spool::message::{AgentHello, Gossip, Member};
+use ibisspool_core::time::Now;
+use ibisspool_kernel::channel::Sender;
+use ibisspool_kernel::clock::Clock;
+use ibisspool_kernel::metrics::Metrics;
+use ibisspool_kernel::spool as common;
+use slotmap::SecondaryMap;
+use tokio::sync::{Notify, oneshot};
+
+use super::metrics::Meter;
+use super::settings::Settings;
+
+/// Prefix of the log lines of decisions.
+const PREFIX: &str = "entry";
+
+/// The decisions with the ends of the connections that they act on.
+#[derive(Debug)]
+pub struct Hub {
+    me: Member,
+    clock: Clock,
+    entry: RefCell<Entry>,
+    links: RefCell<SecondaryMap<LinkKey, Sender>>,
+    waiters: RefCell<SecondaryMap<JobKey, oneshot::Sender<Answer>>>,
+    meter: Meter,
+    /// Rung when the list of entries has grown.
+    pub members_grew: Notify,
+}
+
+impl Hub {
+    /// Makes the hub of an entry without connections.
+    pub fn new(settings: &Settings) -> Rc<Self> {
+        let me = Member {
+            name: settings.common.name.clone(),
+            address: settings.peer_listen,
+        };
+        let entry = Entry::new(me.clone(), settings.common.safety, rand::random());
+        Rc::new(Self {
+            me,
+            clock: Clock::new(),
+            entry: RefCell::new(entry),
+            links: RefCell::default(),
+            waiters: RefCell::default(),
+            meter: Meter::new(),
+            members_grew: Notify::new(),
+        })
+    }
+
+    /// Returns this entry as others know it.
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// Returns the metrics.
+    pub fn metrics(&self) -> Metrics {
+        self.meter.all.clone()
+    }
+
+    /// Lets the decisions handle something and carries out what they say.
+    pub fn decide<R, F>(&self, handle: F) -> R
+    where
+        F: FnOnce(&mut Entry, Now) -> R,
+    {
+        let (result, actions) = {
+            let mut entry = self.entry.borrow_mut();
+            let result = handle(&mut entry, self.clock.now());
+            (result, entry.take_actions())
+        };
+        self.carry_out(actions);
+        result
+    }
+
+    fn carry_out(&self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Answer(key, answer) => {
+                    if let Some(waiter) = self.waiters.borrow_mut().remove(key) {
+                        // A caller that has just left needs no answer.
+                        let _left = waiter.send(answer);
+                    }
+                }
+                Action::Order(link, order) => {
+                    if let Some(sender) = self.links.borrow().get(link) {
+                        sender.send(&order);
+                    }
+                }
+                Action::Note(note) => common::write(PREFIX, &note),
+            }
+        }
+    }
+
+    /// Submits a job; its answer comes through the receiver.
+    pub fn submit(&self, request: Request, queue: Queue) -> (JobKey, oneshot::Receiver<Answer>) {
+        let (waiter, answer) = oneshot::channel();
+        let (key, actions) = {
+            let mut entry = self.entry.borrow_mut();
+            let key = entry.submit(request, queue, self.clock.now());
+            self.waiters.borrow_mut().insert(key, waiter);
+            (key, entry.take_actions())
+        };
+        self.carry_out(actions);
+        (key, answer)
+    }
+
+    /// Notes that a caller has gone.
+    pub fn close(&self, key: JobKey) {
+        self.meter.left.inc();
+        self.waiters.borrow_mut().remove(key);
+        self.decide(|entry, now| entry.close(key, now));
+    }
+
+    /// Counts an answer.
+    pub fn count(&self, answer: Answer, seconds: f64) {
+        self.meter.answer(answer, seconds);
+    }
+
+    /// Notes a connection of an agent.
+    pub fn connect(&self, hello: AgentHello, sender: Sender) -> LinkKey {
+        let (link, actions) = {
+            let mut entry = self.entry.borrow_mut();
+            let link = entry.connect(hello, self.clock.now());
+            self.links.borrow_mut().insert(link, sender);
+            (link, entry.take_actions())
+        };
+        self.carry_out(actions);
+        link
+    }
+
+    /// Notes the end of an agent's connection.
+    pub fn disconnect(&self, link: LinkKey) {
+        self.links.borrow_mut().remove(link);
+        self.decide(|entry, now| entry.disconnect(link, now));
+    }
+
+    /// Does what is due.
+    pub fn tick(&self) {
+        self.decide(Entry::tick);
+    }
+
+    /// Begins the planned stop.
+    pub fn stop(&self) {
+        self.decide(|entry, _now| entry.stop());
+    }
+
+    /// Returns the number of jobs whose callers wait.
+    pub fn open_jobs(&self) -> usize {
+        self.entry.borrow().open_jobs()
+    }
+
+    /// Looks at the decisions' state.
+    pub fn look<R, F>(&self, look: F) -> R
+    where
+        F: FnOnce(&Entry) -> R,
+    {
+        look(&self.entry.borrow())
+    }
+
+    /// Takes in what another entry says, or what the store says of entries.
+    pub fn learn_members(&self, members: &[Member]) {
+        if self.decide(|entry, _now| entry.learn_members(members)) {
+            self.members_grew.notify_waiters();
+        }
+    }
+
+    /// Takes a catalogue into force.
+    pub fn set_catalogue(&self, catalogue: Arc<Snapshot>, source: &'static str) {
+        self.decide(|entry, now| entry.set_catalogue(catalogue, source, now));
+    }
+
+    /// Handles what another entry says and returns what to tell it.
+    pub fn gossip(&self, heard: Gossip) -> Gossip {
+        let known = heard.version;
+        let mut members = heard.members;
+        members.push(heard.from);
+        self.learn_members(&members);
+        if let Some(catalogue) = heard.catalogue {
+            self.set_catalogue(catalogue, "another entry");
+        }
+        self.gossip_for(known)
+    }
+
+    /// Returns what to tell an entry that knows the catalogue `known`.
+    pub fn gossip_for(&self, known: u64) -> Gossip {
+        let entry = self.entry.borrow();
+        let catalogue = entry.catalogue();
+        Gossip {
+            from: self.me.clone(),
+            members: entry.members().to_vec(),
+            version: catalogue.map_or(0, |catalogue| catalogue.version),
+            catalogue: catalogue
+                .filter(|catalogue| catalogue.version > known)
+                .cloned(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/spool/links.rs
@@ -0,0 +1,158 @@
+//! Connections of agents, and to and from other entries.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::{Context, Result, bail};
+use ibisspool_core::spool::message::{AgentHello, Caller, Gossip, Hello, Report, VERSION};
+use ibisspool_kernel::channel::{self, Receiver, Sender};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use super::hub::Hub;
+
+/// A connection without a message for this long is given up: six reports of an idle agent.
+const SILENCE: Duration = Duration::from_millis(1_200);
+
+/// Time between two exchanges of entries: a change that the store does not tell one of them is
+/// known to all within the two seconds that a change may take.
+const GOSSIP: Duration = Duration::from_millis(400);
+
+/// Time for a connection to another entry.
+const CONNECT: Duration = Duration::from_millis(400);
+
+/// Pause before another try to connect.
+const AGAIN: Duration = Duration::from_millis(300);
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Takes connections of agents and entries.
+pub async fn serve(listener: TcpListener, hub: Rc<Hub>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let hub = Rc::clone(&hub);
+                spawn_local(async move {
+                    if let Err(error) = accept(&hub, stream).await {
+                        log::info!("links: A connection ended. from={from} error={error:#}");
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!("links: Cannot accept a connection. error={error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn accept(hub: &Rc<Hub>, stream: TcpStream) -> Result<()> {
+    let (sender, mut receiver) = channel::open(stream);
+    let hello: Hello = receive(&mut receiver).await?;
+    if hello.version != VERSION {
+        bail!(
+            "the peer speaks version {}, this entry {VERSION}",
+            hello.version
+        );
+    }
+    match hello.from {
+        Caller::Agent(agent) => serve_agent(hub, agent, sender, receiver).await,
+        Caller::Entry(_member) => serve_entry(hub, &sender, receiver).await,
+    }
+}
+
+async fn receive<M>(receiver: &mut Receiver) -> Result<M>
+where
+    M: serde::de::DeserializeOwned,
+{
+    let message = timeout(SILENCE, receiver.receive()).await;
+    message
+        .context("the peer was silent")??
+        .context("the peer closed the connection")
+}
+
+async fn serve_agent(
+    hub: &Rc<Hub>,
+    agent: AgentHello,
+    sender: Sender,
+    mut receiver: Receiver,
+) -> Result<()> {
+    let link = hub.connect(agent, sender);
+    let ended = loop {
+        match receive::<Report>(&mut receiver).await {
+            Ok(report) => hub.decide(|entry, now| entry.report(link, report, now)),
+            Err(error) => break error,
+        }
+    };
+    hub.disconnect(link);
+    Err(ended)
+}
+
+async fn serve_entry(hub: &Rc<Hub>, sender: &Sender, mut receiver: Receiver) -> Result<()> {
+    loop {
+        let heard: Gossip = receive(&mut receiver).await?;
+        sender.send(&hub.gossip(heard));
+    }
+}
+
+/// Keeps a connection to each other entry that is known.
+pub async fn dial_members(hub: Rc<Hub>, seeds: Vec<SocketAddr>) {
+    let mut dialled: HashSet<SocketAddr> = HashSet::from([hub.me().address]);
+    let mut wanted = seeds;
+    loop {
+        for address in wanted {
+            if dialled.insert(address) {
+                spawn_local(dial(Rc::clone(&hub), address));
+            }
+        }
+        let grew = hub.members_grew.notified();
+        wanted = hub.look(|entry| entry.members().iter().map(|m| m.address).collect());
+        if wanted.iter().all(|address| dialled.contains(address)) {
+            grew.await;
+            wanted = hub.look(|entry| entry.members().iter().map(|m| m.address).collect());
+        }
+    }
+}
+
+async fn dial(hub: Rc<Hub>, address: SocketAddr) {
+    let mut connected = false;
+    loop {
+        let ended = exchange(&hub, address, &mut connected).await;
+        if connected && let Err(error) = ended {
+            log::warn!("links: Lost an entry. address={address} error={error:#}");
+            connected = false;
+        }
+        tokio::time::sleep(AGAIN).await;
+    }
+}
+
+async fn exchange(hub: &Hub, address: SocketAddr, connected: &mut bool) -> Result<()> {
+    let stream = timeout(CONNECT, TcpStream::connect(address))
+        .await
+        .context("no connection in time")??;
+    let (sender, mut receiver) = channel::open(stream);
+    sender.send(&Hello {
+        version: VERSION,
+        from: Caller::Entry(hub.me().clone()),
+    });
+    let mut known = u64::MAX;
+    loop {
+        sender.send(&hub.gossip_for(known));
+        let heard: Gossip = receive(&mut receiver).await?;
+        if !*connected {
+            *connected = true;
+            log::info!(
+                "links: Reached an entry. address={address} entry={}",
+                heard.from.name
+            );
+        }
+        known = heard.version;
+        if hub.gossip(heard).catalogue.is_none() {
+            tokio::time::sleep(GOSSIP).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/spool/metrics.rs
@@ -0,0 +1,53 @@
+//! Counters and latencies of an entry.
+
+use ibisspool_core::spool::entry::Answer;
+use ibisspool_kernel::metrics::Metrics;
+use prometheus::{Histogram, IntCounter, IntCounterVec};
+
+/// The metrics of an entry.
+#[derive(Debug)]
+pub struct Meter {
+    /// All of them.
+    pub all: Metrics,
+    answers: IntCounterVec,
+    refusals: IntCounterVec,
+    latency: Histogram,
+    /// Tasks that went elsewhere.
+    pub retries: IntCounter,
+    /// Callers that went away before their answer.
+    pub left: IntCounter,
+}
+
+impl Meter {
+    /// Makes metrics at zero.
+    pub fn new() -> Self {
+        let all = Metrics::new();
+        Self {
+            answers: all.family("ibisspool_answers_total", "Answers to jobs", "answer"),
+            refusals: all.family("ibisspool_refusals_total", "Jobs turned away", "reason"),
+            latency: all.histogram("ibisspool_job_seconds", "Time to the answer of a job"),
+            retries: all.counter("ibisspool_retries_total", "Tasks that were sent again"),
+            left: all.counter(
+                "ibisspool_left_total",
+                "Callers that left before the answer",
+            ),
+            all,
+        }
+    }
+
+    /// Counts an answer.
+    pub fn answer(&self, answer: Answer, seconds: f64) {
+        let label = match answer {
+            Answer::Completed => "completed",
+            Answer::Failed => "failed",
+            Answer::Expired => "expired",
+            Answer::Refused { reason, .. } => {
+                let reason: &str = reason.into();
+                self.refusals.with_label_values(&[reason]).inc();
+                "refused"
+            }
+        };
+        self.answers.with_label_values(&[label]).inc();
+        self.latency.observe(seconds);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/spool/settings.rs
@@ -0,0 +1,51 @@
+//! Settings of an entry of the spool.
+
+use std::net::SocketAddr;
+
+use clap::{ArgMatches, Command};
+use ibisspool_kernel::settings::{Error, flag, read};
+use ibisspool_kernel::spool;
+
+/// Checked settings of an entry.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// What agents have too.
+    pub common: spool::Settings,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address at which the platform asks for readiness.
+    pub ready_listen: SocketAddr,
+    /// Address for agents and other entries.
+    pub peer_listen: SocketAddr,
+}
+
+impl Settings {
+    /// Adds the flags to a command.
+    pub fn add_flags(command: Command) -> Command {
+        spool::Settings::add_flags(command)
+            .arg(flag("listen", "IP:PORT", "Address for callers").required(true))
+            .arg(flag("ready-listen", "IP:PORT", "Address for checks of readiness").required(true))
+            .arg(
+                flag(
+                    "peer-listen",
+                    "IP:PORT",
+                    "Address for agents and other entries",
+                )
+                .required(true),
+            )
+    }
+
+    /// Reads and checks the settings.
+    ///
+    /// # Errors
+    /// Fails if a setting is not allowed.
+    pub fn read(matches: &ArgMatches) -> Result<Self, Error> {
+        const ADDRESS: &str = "an address such as 10.0.0.1:8080";
+        Ok(Self {
+            common: spool::Settings::read(matches)?,
+            listen: read(matches, "listen", ADDRESS)?,
+            ready_listen: read(matches, "ready-listen", ADDRESS)?,
+            peer_listen: read(matches, "peer-listen", ADDRESS)?,
+        })
+    }
+}
--- a/crates/kernel/src/clock.rs
+++ b/crates/kernel/src/clock.rs
@@ -1,20 +1,21 @@
 //! The clocks of a process, read at the edges only.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use ibisspool_core::time::{Mono, Now, Wall};
+use nix::time::{ClockId, clock_gettime};
 
 /// Both clocks of a process.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    origin: Instant,
+    origin: Duration,
 }
 
 impl Clock {
     /// Makes a clock whose monotonic time starts now.
     pub fn new() -> Self {
         Self {
-            origin: Instant::now(),
+            origin: since_boot(),
         }
     }
 
@@ -26,9 +27,10 @@
         }
     }
 
-    /// Returns the present by the monotonic clock.
+    /// Returns the present by the monotonic clock. It goes on while the VM is suspended, as the
+    /// callers' time does.
     pub fn mono(&self) -> Mono {
-        Mono(self.origin.elapsed().as_micros() as u64)
+        Mono(since_boot().saturating_sub(self.origin).as_micros() as u64)
     }
 
     fn wall() -> Wall {
@@ -39,6 +41,16 @@
     }
 }
 
+/// Returns the time since the VM started, with the time that it was suspended.
+///
+/// # Panics
+/// Panics on systems without such a clock, where no lease could be trusted.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME)
+        .expect("the system has no clock that counts suspended time; run a newer one");
+    Duration::from(time)
+}
+
 impl Default for Clock {
     fn default() -> Self {
         Self::new()
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -1,5 +1,6 @@
 //! What all processes of ibisspool share: named parts with mailboxes, clock, logs, HTTP, signals.
 
+pub mod channel;
 pub mod clock;
 pub mod http;
 pub mod log;
@@ -9,3 +10,5 @@
 pub mod run;
 pub mod settings;
 pub mod signal;
+pub mod spool;
+pub mod web;
--- a/crates/kernel/src/run.rs
+++ b/crates/kernel/src/run.rs
@@ -8,10 +8,15 @@
 /// Exit code for a process that could not start or go on.
 const FAILED: i32 = 1;
 
+/// For a process that starts its logs itself.
+pub fn own_logs<S>(_settings: &S) -> Option<(Format, &str)> {
+    None
+}
+
 /// Runs a process with its settings, or only checks them; returns the exit code.
 pub fn run<S, L, R>(settings: Result<S, Error>, check: bool, logs: L, run: R) -> i32
 where
-    L: FnOnce(&S) -> (Format, &str),
+    L: FnOnce(&S) -> Option<(Format, &str)>,
     R: FnOnce(&S) -> Result<()>,
 {
     let settings = match settings {
@@ -25,8 +30,9 @@
         println!("The settings are valid.");
         return 0;
     }
-    let (format, level) = logs(&settings);
-    logs::start(format, level);
+    if let Some((format, level)) = logs(&settings) {
+        logs::start(format, level);
+    }
     match run(&settings) {
         Ok(()) => 0,
         Err(error) => {
--- /dev/null
+++ b/crates/kernel/src/spool.rs
@@ -0,0 +1,246 @@
+//! What the spool's processes share: settings, the thread that runs them, log lines, signals.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use clap::{ArgMatches, Command};
+use ibisspool_core::spool::note::{Level, Note};
+use ibisspool_core::spool::safety::Safety;
+use tokio::runtime::Builder;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::LocalSet;
+
+use crate::log::Batch;
+use crate::metrics::Metrics;
+use crate::settings::{Error, flag, read, read_name, read_within};
+use crate::web::{self, Limits, Reply};
+
+/// Time between two batches of log lines.
+pub const LOG_PAUSE: Duration = Duration::from_millis(100);
+
+/// Bounds on requests to the process's own addresses.
+pub const OWN_LIMITS: Limits = Limits {
+    head_bytes: 8 << 10,
+    body_bytes: 4 << 20,
+    head_timeout: Duration::from_secs(30),
+};
+
+/// Settings that entries and agents have in common.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of the VM, unique in the deployment.
+    pub name: String,
+    /// Data centre of the VM.
+    pub data_centre: String,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Addresses of some entries; only the host counts.
+    pub seeds: Vec<SocketAddr>,
+    /// Port at which entries listen for agents and other entries.
+    pub peer_port: u16,
+    /// Address of the metrics.
+    pub metrics: SocketAddr,
+    /// Least level of the log lines, or a filter.
+    pub log_level: String,
+    /// Bounds that keep two attempts of a job apart.
+    pub safety: Safety,
+    /// Time for a planned stop.
+    pub grace: Duration,
+}
+
+impl Settings {
+    /// Adds the flags to a command.
+    pub fn add_flags(command: Command) -> Command {
+        command
+            .arg(flag("name", "NAME", "Name of this VM, unique in the deployment").required(true))
+            .arg(flag("data-centre", "NAME", "Data centre of this VM").required(true))
+            .arg(flag("store", "IP:PORT", "Address of the platform's store").required(true))
+            .arg(
+                flag(
+                    "seeds",
+                    "IP:PORT,...",
+                    "Hosts of some entries; the others are learnt",
+                )
+                .default_value(""),
+            )
+            .arg(
+                flag(
+                    "peer-port",
+                    "PORT",
+                    "Port of entries for agents and other entries",
+                )
+                .required(true),
+            )
+            .arg(
+                flag("metrics-listen", "IP:PORT", "Address of the metrics")
+                    .default_value("127.0.0.1:9464"),
+            )
+            .arg(flag("log-level", "LEVEL", "Least level, or a filter").default_value("info"))
+            .arg(
+                flag(
+                    "resubmit-ms",
+                    "MS",
+                    "Delay after which callers submit a job again whose connection broke",
+                )
+                .default_value("1300"),
+            )
+            .arg(
+                flag(
+                    "longest-lease-ms",
+                    "MS",
+                    "Longest lease that backend servers grant",
+                )
+                .default_value("1000"),
+            )
+            .arg(
+                flag(
+                    "grace-s",
+                    "S",
+                    "Time for a planned stop, after which the platform kills",
+                )
+                .default_value("6"),
+            )
+    }
+
+    /// Reads and checks the settings.
+    ///
+    /// # Errors
+    /// Fails if a setting is not allowed.
+    pub fn read(matches: &ArgMatches) -> Result<Self, Error> {
+        const ADDRESS: &str = "an address such as 10.0.0.1:8080";
+        const SEEDS: &str = "addresses separated by commas, or nothing";
+        let list = read::<String>(matches, "seeds", SEEDS)?;
+        let seeds = list
+            .split(',')
+            .map(str::trim)
+            .filter(|seed| !seed.is_empty())
+            .map(str::parse)
+            .collect::<Result<Vec<SocketAddr>, _>>()
+            .map_err(|_error| Error::new("seeds", &list, SEEDS))?;
+        let millis = |name: &str, least: u64| {
+            read_within(matches, name, least, 60_000).map(Duration::from_millis)
+        };
+        let grace = read::<f64>(matches, "grace-s", "seconds above 0")?;
+        if !(0.1..=3_600.0).contains(&grace) {
+            return Err(Error::new("grace-s", grace, "seconds from 0.1 to 3600"));
+        }
+        Ok(Self {
+            name: read_name(matches, "name")?,
+            data_centre: read_name(matches, "data-centre")?,
+            store: read(matches, "store", ADDRESS)?,
+            seeds,
+            peer_port: read_within(matches, "peer-port", 1, 65_535)? as u16,
+            metrics: read(matches, "metrics-listen", ADDRESS)?,
+            log_level: read(matches, "log-level", "any text")?,
+            safety: Safety::new(
+                millis("resubmit-ms", 300)?,
+                millis("longest-lease-ms", 100)?,
+            ),
+            grace: Duration::from_secs_f64(grace),
+        })
+    }
+
+    /// Returns where the seeds listen for agents and other entries.
+    pub fn seed_peers(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.seeds
+            .iter()
+            .map(|seed| SocketAddr::new(seed.ip(), self.peer_port))
+    }
+}
+
+/// Runs a process on this thread until its future ends.
+///
+/// # Errors
+/// Fails if the runtime cannot start or the future fails.
+pub fn block_on<F>(process: F) -> Result<()>
+where
+    F: Future<Output = Result<()>>,
+{
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("cannot start the event loop")?;
+    LocalSet::new().block_on(&runtime, process)
+}
+
+/// Writes a log line of a decision.
+pub fn write(prefix: &str, note: &Note) {
+    let level = match note.level {
+        Level::Info => log::Level::Info,
+        Level::Warn => log::Level::Warn,
+    };
+    log::log!(level, "{prefix}: {} {}", note.text, note.fields);
+}
+
+/// Warns if the safety bounds cannot be met.
+pub fn warn_of(safety: &Safety) {
+    match safety.check() {
+        Ok(()) => log::info!(
+            "serve: Safety bounds hold. silence_ms={} stop_patience_ms={} lease_ms={} resubmit_ms={}",
+            safety.silence.as_millis(),
+            safety.stop_patience.as_millis(),
+            safety.lease.as_millis(),
+            safety.resubmit.as_millis()
+        ),
+        Err(error) => log::error!("serve: {error}."),
+    }
+}
+
+/// Writes the gathered log lines now and then.
+pub async fn flush_logs(logs: Batch) {
+    loop {
+        tokio::time::sleep(LOG_PAUSE).await;
+        logs.flush();
+    }
+}
+
+/// Serves the metrics. A process without them still does its work.
+pub async fn serve_metrics(address: SocketAddr, metrics: Metrics) {
+    match tokio::net::TcpListener::bind(address).await {
+        Ok(listener) => {
+            let answer = move |_call| {
+                let body = metrics.text();
+                async move { Reply::new(http::StatusCode::OK).with_body(body) }
+            };
+            web::serve(listener, || OWN_LIMITS, answer).await;
+        }
+        Err(error) => log::warn!("metrics: Cannot listen. address={address} error={error}"),
+    }
+}
+
+/// The signals that matter to a process.
+#[derive(Debug)]
+pub struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    /// Starts to listen.
+    ///
+    /// # Errors
+    /// Fails if the system refuses.
+    pub fn new() -> Result<Self> {
+        let listen = |kind| signal(kind).context("cannot listen for signals");
+        Ok(Self {
+            terminate: listen(SignalKind::terminate())?,
+            interrupt: listen(SignalKind::interrupt())?,
+            hangup: listen(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for a planned stop.
+    pub async fn stop(&mut self) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hangup.recv() => {
+                    log::info!("serve: Reload asked. All settings are flags, nothing changes.");
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/web/server.rs
@@ -0,0 +1,197 @@
+//! Serves HTTP/1.1 connections on the thread that calls it.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use http::{Method, StatusCode, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+
+/// Least buffer that the library allows for a request's head.
+const LEAST_HEAD: usize = 8 << 10;
+
+/// Pause after a failed accept, so that a lack of descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Bounds on a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Most bytes of a request's head.
+    pub head_bytes: usize,
+    /// Most bytes of a request's body.
+    pub body_bytes: usize,
+    /// Longest time until a request's head has arrived, counted from the one before.
+    pub head_timeout: Duration,
+}
+
+/// A request that has arrived whole.
+#[derive(Debug)]
+pub struct Call {
+    /// Method.
+    pub method: Method,
+    /// Target.
+    pub uri: Uri,
+    /// Header fields.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Call {
+    /// Returns a header field as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+
+    /// Returns the host that the caller names, without a port.
+    pub fn host(&self) -> &str {
+        let host = self
+            .uri
+            .host()
+            .or_else(|| self.header("host"))
+            .unwrap_or("");
+        host.rsplit_once(':').map_or(host, |(name, _port)| name)
+    }
+}
+
+/// An answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reply {
+    /// Status.
+    pub status: StatusCode,
+    /// Body, JSON if it is not empty.
+    pub body: Bytes,
+    /// Whole seconds after which it is worth coming back.
+    pub retry_after: Option<u64>,
+    /// Whether the connection ends after this answer.
+    pub close: bool,
+}
+
+impl Reply {
+    /// Makes an answer without a body.
+    pub fn new(status: StatusCode) -> Self {
+        Self {
+            status,
+            body: Bytes::new(),
+            retry_after: None,
+            close: false,
+        }
+    }
+
+    /// Adds a body.
+    #[must_use]
+    pub fn with_body<B>(mut self, body: B) -> Self
+    where
+        B: Into<Bytes>,
+    {
+        self.body = body.into();
+        self
+    }
+
+    fn into_response(self) -> http::Response<Full<Bytes>> {
+        let is_json = !self.body.is_empty();
+        let mut response = http::Response::new(Full::new(self.body));
+        *response.status_mut() = self.status;
+        let fields = response.headers_mut();
+        let mut set = |name: HeaderName, value: HeaderValue| fields.insert(name, value);
+        if is_json {
+            set(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        }
+        if let Some(seconds) = self.retry_after {
+            set(RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        if self.close {
+            set(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
+
+/// Accepts connections and answers their requests with `handle`. If a caller ends its connection
+/// while it waits, the future of its answer is dropped.
+pub async fn serve<L, H, F>(listener: TcpListener, limits: L, handle: H)
+where
+    L: Fn() -> Limits,
+    H: Fn(Call) -> F + 'static,
+    F: Future<Output = Reply> + 'static,
+{
+    let handle = Rc::new(handle);
+    loop {
+        match listener.accept().await {
+            Ok((stream, _from)) => {
+                spawn_local(connection(stream, limits(), Rc::clone(&handle)));
+            }
+            Err(error) => {
+                log::warn!("http: Cannot accept a connection. error={error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection<H, F>(stream: TcpStream, limits: Limits, handle: Rc<H>)
+where
+    H: Fn(Call) -> F + 'static,
+    F: Future<Output = Reply> + 'static,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("http: Cannot switch off delays. error={error}");
+    }
+    let answer = move |request: http::Request<Incoming>| {
+        let handle = Rc::clone(&handle);
+        async move {
+            let reply = match read(request, limits).await {
+                Ok(call) => handle(call).await,
+                Err(status) => Reply {
+                    close: true,
+                    ..Reply::new(status)
+                },
+            };
+            Ok::<_, Infallible>(reply.into_response())
+        }
+    };
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_timeout)
+        .max_buf_size(limits.head_bytes.max(LEAST_HEAD))
+        .serve_connection(TokioIo::new(stream), service_fn(answer))
+        .await;
+    if let Err(error) = served {
+        log::debug!("http: A connection ended. error={error}");
+    }
+}
+
+async fn read(request: http::Request<Incoming>, limits: Limits) -> Result<Call, StatusCode> {
+    let (head, body) = request.into_parts();
+    let head_bytes: usize = head
+        .headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len())
+        .sum();
+    if head_bytes > limits.head_bytes {
+        return Err(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+    }
+    let body = Limited::new(body, limits.body_bytes);
+    let body = body.collect().await.map_err(|error| {
+        if error.is::<http_body_util::LengthLimitError>() {
+            StatusCode::PAYLOAD_TOO_LARGE
+        } else {
+            log::debug!("http: A body ended early. error={error}");
+            StatusCode::BAD_REQUEST
+        }
+    })?;
+    Ok(Call {
+        method: head.method,
+        uri: head.uri,
+        headers: head.headers,
+        body: body.to_bytes(),
+    })
+}
