fix(spool): a job is bounded by its caller's time, its objective by the servers' usual pace

Cause: the route's time-out (1.5 s) ended jobs whose callers wait 5 s and whose objective is above 2 s; run times declared a third too long made objectives look wider than they are.

--- a/crates/core/src/spool/catalogue.rs
+++ b/crates/core/src/spool/catalogue.rs
@@ -20,7 +20,7 @@
     pub priority: u8,
     /// Most failed runs of one task.
     pub attempts: u32,
-    /// Longest time for one request.
+    /// How long a caller waits for an answer if it does not say.
     pub timeout: Duration,
     /// Latency objective: this many times the work of the longest chain ...
     pub stretch: f64,
--- a/crates/core/src/spool/entry.rs
+++ b/crates/core/src/spool/entry.rs
@@ -149,6 +149,8 @@
     numbers: HashMap<String, u32>,
     waiting: BTreeSet<(Rank, TaskKey)>,
     estimates: Estimates,
+    /// Mean run time on all servers against the estimates.
+    usual_pace: f64,
     random: SmallRng,
     stopping: bool,
     actions: Vec<Action>,
@@ -170,6 +172,7 @@
             numbers: HashMap::new(),
             waiting: BTreeSet::new(),
             estimates: Estimates::default(),
+            usual_pace: 1.0,
             random: SmallRng::seed_from_u64(seed),
             stopping: false,
             actions: Vec::new(),
--- a/crates/core/src/spool/entry/agents.rs
+++ b/crates/core/src/spool/entry/agents.rs
@@ -8,6 +8,7 @@
     AgentHello, Declined, End, Load, Order, Outcome, Report, Server, Stamp, Start, Ticket,
 };
 use super::super::note::Note;
+use super::estimate::usual_pace;
 use super::{Action, Entry, LinkKey, Place, TaskKey};
 use crate::time::{Mono, Now};
 
@@ -156,6 +157,11 @@
             agent.pending.pop_front();
         }
         let (number, pace) = (agent.number, report.load.pace);
+        let paces = self.agents.values().map(|agent| agent.load.pace);
+        self.usual_pace = usual_pace(paces);
+        let Some(agent) = self.agents.get_mut(link) else {
+            return;
+        };
         if let Some(server) = report.server {
             let note = Note::new("A backend server's state changed.")
                 .with("agent", &agent.name)
--- a/crates/core/src/spool/entry/dispatch.rs
+++ b/crates/core/src/spool/entry/dispatch.rs
@@ -76,7 +76,7 @@
         let last_useful_end = if rank.late {
             self.useful_until(job)
         } else {
-            rank.latest_start.plus(run)
+            rank.latest_start.plus(run.mul_f64(self.usual_pace))
         };
         let demand = Demand {
             needs: step.needs,
--- a/crates/core/src/spool/entry/estimate.rs
+++ b/crates/core/src/spool/entry/estimate.rs
@@ -41,3 +41,21 @@
         }
     }
 }
+
+/// A server this many times slower than the median is in trouble and says nothing of the usual.
+const TROUBLE: f32 = 2.5;
+
+/// Returns the mean pace of the servers without those in trouble, 1 if none is known.
+pub fn usual_pace<P>(paces: P) -> f64
+where
+    P: Iterator<Item = f32>,
+{
+    let mut known: Vec<f32> = paces.filter(|pace| *pace > 0.0).collect();
+    known.sort_by(f32::total_cmp);
+    let Some(&median) = known.get(known.len() / 2) else {
+        return 1.0;
+    };
+    known.retain(|pace| *pace <= median * TROUBLE);
+    let sum: f32 = known.iter().sum();
+    f64::from(sum) / known.len() as f64
+}
--- a/crates/core/src/spool/entry/jobs.rs
+++ b/crates/core/src/spool/entry/jobs.rs
@@ -25,7 +25,7 @@
     /// Takes a job or turns it away at once. The answer comes as an action for the key.
     pub fn submit(&mut self, request: Request, queue: Queue, now: Now) -> JobKey {
         self.expire(now);
-        let given = request.budget.saturating_sub(WAY_BACK).min(queue.timeout);
+        let given = request.budget.saturating_sub(WAY_BACK);
         let job = Job {
             id: request.id,
             tasks: Vec::with_capacity(request.tasks()),
@@ -70,8 +70,8 @@
         if backlog.work <= 0.0 {
             return Ok(());
         }
-        admit(backlog, self.chain(job, 0), left)
-            .map_err(|retry_after| (Refusal::Overloaded, retry_after))
+        let run = self.chain(job, 0).mul_f64(self.usual_pace);
+        admit(backlog, run, left).map_err(|retry_after| (Refusal::Overloaded, retry_after))
     }
 
     /// Returns whether servers of the service are known and none could ever run the step.
@@ -166,9 +166,11 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
-    /// Returns the latency objective of a job.
+    /// Returns the latency objective of a job. Declared run times may all be off in one direction,
+    /// so the servers' usual pace turns them into true ones.
     fn objective(&self, job: &Job) -> Duration {
-        self.chain(job, 0).mul_f64(job.queue.stretch.max(1.0)) + job.queue.target
+        let chain = self.chain(job, 0).mul_f64(self.usual_pace);
+        chain.mul_f64(job.queue.stretch.max(1.0)) + job.queue.target
     }
 
     /// Returns when the answer stops being of use.
@@ -180,7 +182,7 @@
     /// Returns the order of a step's tasks among those that wait.
     pub(super) fn rank(&self, job: &Job, step: u16) -> Rank {
         let objective = job.arrived.plus(self.objective(job));
-        let chain = self.chain(job, step);
+        let chain = self.chain(job, step).mul_f64(self.usual_pace);
         Rank {
             late: false,
             latest_start: Mono(objective.0.saturating_sub(chain.as_micros() as u64)),
@@ -225,7 +227,7 @@
             let Some(job) = self.jobs.get(key) else {
                 continue;
             };
-            let end = now.mono.plus(self.chain(job, 0));
+            let end = now.mono.plus(self.chain(job, 0).mul_f64(self.usual_pace));
             if end > self.useful_until(job) && self.is_untouched(key) {
                 self.refuse(key, Refusal::WaitedTooLong, SOON, now.mono);
             }
