--- a/crates/agent/src/spool/hub.rs
+++ b/crates/agent/src/spool/hub.rs
@@ -123,10 +123,14 @@
                 spec,
                 until,
                 token,
+                incarnation,
             } => {
                 let hub = Rc::clone(self);
                 spawn_local(async move {
-                    let answer = hub.executor.start(name, number, &spec, until, token).await;
+                    let answer = hub
+                        .executor
+                        .start(name, number, &spec, until, token, &incarnation)
+                        .await;
                     if answer == StartAnswer::Silent {
                         hub.note_silence();
                     }
--- a/crates/core/src/spool/agent.rs
+++ b/crates/core/src/spool/agent.rs
@@ -52,6 +52,8 @@
         until: u64,
         /// Token that fences off earlier agents.
         token: u64,
+        /// Incarnation of the server that it is meant for.
+        incarnation: std::sync::Arc<str>,
     },
     /// Ask the backend server to stop a run; the answer goes to [`Agent::stop_answer`].
     Stop {
--- a/crates/core/src/spool/agent/backend.rs
+++ b/crates/core/src/spool/agent/backend.rs
@@ -22,6 +22,8 @@
 /// What a backend server says of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Announcement {
+    /// Names the incarnation; orders for another one are refused.
+    pub incarnation: Arc<str>,
     /// Wall time of its start in milliseconds; a newer one is another incarnation.
     pub born: u64,
     /// Rises with each announcement of one incarnation.
@@ -72,8 +74,11 @@
 }
 
 /// The next look at the lists.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Hold {
+    /// Incarnation of the server that it is meant for. Another one counts time from its own start,
+    /// so the end of the lease would be far off.
+    pub incarnation: Arc<str>,
     /// Token that fences off earlier agents.
     pub token: u64,
     /// Ends up to this one were taken note of.
@@ -102,6 +107,7 @@
 /// What is known of the server.
 #[derive(Debug, Clone)]
 pub(super) struct Backend {
+    pub incarnation: Arc<str>,
     born: u64,
     sequence: u64,
     pub service: Arc<str>,
@@ -151,6 +157,7 @@
         let changed = backend.ready != announcement.ready
             || backend.service != announcement.service
             || backend.capacity != announcement.capacity;
+        backend.incarnation = announcement.incarnation;
         backend.sequence = announcement.sequence;
         backend.ready = announcement.ready;
         backend.service = announcement.service;
@@ -178,11 +185,13 @@
         self.note(note);
         if self.backend.is_some() {
             self.lose_started(now);
+            self.fence_incarnation();
         }
         self.strays.clear();
         self.swept = false;
         self.health = Health::default();
         self.backend = Some(Backend {
+            incarnation: Arc::clone(&announcement.incarnation),
             born: announcement.born,
             sequence: announcement.sequence,
             service: Arc::clone(&announcement.service),
@@ -197,6 +206,12 @@
         });
     }
 
+    /// Raises the token for another incarnation of the server. Its clock starts anew, so the end of
+    /// the lease in an order to the incarnation before says nothing; the token refuses it.
+    fn fence_incarnation(&mut self) {
+        self.token += 1;
+    }
+
     /// Handles the server's farewell.
     pub fn leave(&mut self, now: Now) {
         if let Some(backend) = self.backend.as_mut() {
@@ -224,6 +239,7 @@
         let renew =
             self.started_runs() > 0 && backend.failures < FAILURES && !self.is_stop_stuck(now.mono);
         let hold = Hold {
+            incarnation: Arc::clone(&backend.incarnation),
             token,
             acknowledged: backend.acknowledged,
             until: until.filter(|_| renew),
@@ -274,6 +290,7 @@
             backend.clock = None;
             self.strays.clear();
             self.lose_started(now);
+            self.fence_incarnation();
             self.note(Note::warn("The backend server started again.").with("born", listing.born));
         }
         self.reached(listing.clock, now);
@@ -420,7 +437,6 @@
             return;
         };
         match run.phase {
-            Phase::Queued | Phase::Starting => {}
             // The start may still be on its way: only an answered stop makes it harmless.
             Phase::Unsure if asked >= run.since => {
                 self.stop_run(
@@ -430,9 +446,8 @@
                     now,
                 );
             }
-            Phase::Unsure => {}
             Phase::Running if asked >= run.since => self.finish(key, End::Lost, now),
-            Phase::Running => {}
+            Phase::Queued | Phase::Starting | Phase::Unsure | Phase::Running => {}
             Phase::Stopping => {
                 if run.stopped.is_some_and(|at| asked >= at) {
                     let end = run.on_stopped;
--- a/crates/core/src/spool/agent/queue.rs
+++ b/crates/core/src/spool/agent/queue.rs
@@ -4,6 +4,7 @@
 //! server. The task whose objective leaves the least time goes first; one that has missed it
 //! yields to those that can still meet theirs.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::super::job::TaskName;
@@ -67,6 +68,9 @@
         let Some(until) = self.lease_end(now.mono) else {
             return;
         };
+        let Some(incarnation) = self.backend.as_ref().map(|b| Arc::clone(&b.incarnation)) else {
+            return;
+        };
         self.last_number = now.wall.0.max(self.last_number + 1);
         let number = self.last_number;
         let token = self.token;
@@ -85,7 +89,7 @@
             .with("waited_ms", now.mono.since(run.arrived).as_millis())
             .with("late", run.latest_start < now.mono)
             .with("entry", &run.entry);
-        let spec = std::sync::Arc::clone(&run.start.spec);
+        let spec = Arc::clone(&run.start.spec);
         self.note(note);
         self.lease_sent(now.mono);
         self.actions.push(Action::Start {
@@ -95,6 +99,7 @@
             spec,
             until,
             token,
+            incarnation,
         });
     }
 }
--- a/crates/core/src/spool/entry.rs
+++ b/crates/core/src/spool/entry.rs
@@ -86,6 +86,8 @@
     Answer(JobKey, Answer),
     /// Send an order to an agent.
     Order(LinkKey, Order),
+    /// Count a task that is sent again, by the reason.
+    Retried(&'static str),
     /// Write a log line.
     Note(Note),
 }
--- a/crates/core/src/spool/entry/admission.rs
+++ b/crates/core/src/spool/entry/admission.rs
@@ -29,7 +29,7 @@
 const SHORTEST_ADVICE: Duration = Duration::from_secs(1);
 
 /// Longest advice: a backlog of a minute is gone or hopeless by then.
-const LONGEST_ADVICE: Duration = Duration::from_secs(60);
+const LONGEST_ADVICE: Duration = Duration::from_mins(1);
 
 /// Part of the time until the latest start that the wait may take. The rest covers what is not
 /// seen: work that other entries have just taken, and run times that are longer than declared.
--- a/crates/core/src/spool/entry/agents.rs
+++ b/crates/core/src/spool/entry/agents.rs
@@ -215,6 +215,7 @@
     }
 
     fn note_retry(&mut self, key: TaskKey, agent: u32, reason: &'static str, now: Now) {
+        self.actions.push(Action::Retried(reason));
         let task = &self.tasks[key];
         let job = &self.jobs[task.job];
         let note = Note::new("A task goes elsewhere.")
@@ -243,7 +244,7 @@
             })
             .collect();
         for (key, agent) in gone {
-            self.note_retry(key, agent, "connection lost", now);
+            self.note_retry(key, agent, "connection_lost", now);
             self.lose(key, agent);
         }
     }
--- a/crates/core/src/spool/entry/dispatch.rs
+++ b/crates/core/src/spool/entry/dispatch.rs
@@ -42,13 +42,14 @@
             if failures >= FAILURES {
                 break;
             }
-            let Some(link) = self.choose(key, rank, now.mono) else {
-                failures += 1;
-                continue;
-            };
-            self.waiting.remove(&(rank, key));
-            let start = self.start(key, rank, link, now.mono);
-            orders.entry(link).or_default().push(start);
+            match self.choose(key, rank, now.mono) {
+                Some(link) => {
+                    self.waiting.remove(&(rank, key));
+                    let start = self.start(key, rank, link, now.mono);
+                    orders.entry(link).or_default().push(start);
+                }
+                None => failures += 1,
+            }
         }
         for (link, starts) in orders {
             self.send(link, starts, Vec::new());
@@ -161,7 +162,7 @@
             spec: Arc::clone(&job.request.spec),
             needs: step.needs,
             estimate: self.run_time(job, step),
-            slack_us: rank.latest_start.0 as i64 - now.0 as i64,
+            slack_us: rank.latest_start.0.cast_signed() - now.0.cast_signed(),
             priority: rank.priority,
             retried: task.failures > 0,
             service: Arc::clone(&job.queue.service),
--- /dev/null
+++ b/crates/core/tests/spool/executor.rs
@@ -0,0 +1,184 @@
+//! A backend server as the agents see it: lease, token, lists, orders that arrive late.
+
+use std::collections::{BTreeMap, HashMap};
+
+use ibisspool_core::spool::agent::{Ended, Hold, Listing, Running, StartAnswer};
+use ibisspool_core::spool::job::TaskName;
+use ibisspool_core::spool::message::End;
+
+/// Longest lease that the platform grants.
+const LONGEST_LEASE_MS: u64 = 1_000;
+
+/// A task at work.
+#[derive(Debug, Clone)]
+pub struct Work {
+    pub name: TaskName,
+    pub began: u64,
+    pub ends: u64,
+    pub fails: bool,
+    pub stops: bool,
+    pub cpu: u32,
+}
+
+#[derive(Debug, Clone)]
+pub struct Executor {
+    pub capacity: u32,
+    /// Rate of its clock against true time.
+    pub rate: f64,
+    /// Factor on the work of its tasks.
+    pub slowness: f64,
+    pub born: u64,
+    pub longest_lease_ms: u64,
+    pub running: BTreeMap<u64, Work>,
+    ended: Vec<Ended>,
+    ends: u64,
+    until: u64,
+    token: u64,
+    refused_up_to: HashMap<TaskName, u64>,
+}
+
+impl Executor {
+    pub fn new(capacity: u32, rate: f64, slowness: f64, born: u64) -> Self {
+        Self {
+            capacity,
+            rate,
+            slowness,
+            born,
+            longest_lease_ms: LONGEST_LEASE_MS,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            ends: 0,
+            until: 0,
+            token: 0,
+            refused_up_to: HashMap::new(),
+        }
+    }
+
+    /// Milliseconds on its clock at the true time `now` in microseconds.
+    pub fn clock(&self, now: u64) -> u64 {
+        ((now.saturating_sub(self.born)) as f64 * self.rate / 1_000.0) as u64
+    }
+
+    fn end(&mut self, number: u64, end: End) {
+        if let Some(work) = self.running.remove(&number) {
+            self.ends += 1;
+            self.refused_up_to.insert(work.name, number);
+            self.ended.push(Ended {
+                sequence: self.ends,
+                number,
+                end,
+            });
+        }
+    }
+
+    /// Renews the lease, to the longest that the platform grants at most.
+    fn renew(&mut self, until: u64, now: u64) {
+        self.until = self
+            .until
+            .max(until.min(self.clock(now) + self.longest_lease_ms));
+    }
+
+    /// Ends what is due; returns whether anything ended.
+    pub fn advance(&mut self, now: u64) -> bool {
+        let lapsed = self.clock(now) >= self.until;
+        let due: Vec<(u64, End)> = self
+            .running
+            .iter()
+            .filter_map(|(number, work)| match work {
+                _ if lapsed => Some((*number, End::Lost)),
+                work if work.ends > now => None,
+                work if work.stops => Some((*number, End::Lost)),
+                work if work.fails => Some((*number, End::Failed)),
+                _ => Some((*number, End::Done)),
+            })
+            .collect();
+        let any = !due.is_empty();
+        for (number, end) in due {
+            self.end(number, end);
+        }
+        any
+    }
+
+    pub fn used(&self) -> u32 {
+        self.running.values().map(|work| work.cpu).sum()
+    }
+
+    pub fn start(
+        &mut self,
+        number: u64,
+        until: u64,
+        token: u64,
+        work: Work,
+        now: u64,
+    ) -> StartAnswer {
+        self.advance(now);
+        if token < self.token {
+            return StartAnswer::Fenced;
+        }
+        self.token = token;
+        let old = self
+            .refused_up_to
+            .get(&work.name)
+            .is_some_and(|last| number <= *last);
+        if old || until <= self.clock(now) {
+            return StartAnswer::Refused;
+        }
+        self.renew(until, now);
+        self.running.insert(number, work);
+        StartAnswer::Started
+    }
+
+    pub fn stop(&mut self, name: TaskName, number: u64, token: u64, ends: u64) -> bool {
+        if token < self.token {
+            return false;
+        }
+        self.token = token;
+        let last = self.refused_up_to.entry(name).or_default();
+        *last = (*last).max(number);
+        if let Some(work) = self.running.get_mut(&number)
+            && !work.stops
+        {
+            work.stops = true;
+            work.ends = work.ends.min(ends);
+        }
+        true
+    }
+
+    /// Renews and acknowledges; `None` if the token is too low.
+    pub fn hold(&mut self, hold: &Hold, now: u64) -> Option<Listing> {
+        self.advance(now);
+        if hold.token < self.token {
+            return None;
+        }
+        self.token = hold.token;
+        self.renew(hold.until.unwrap_or(0), now);
+        self.ended
+            .retain(|ended| ended.sequence > hold.acknowledged);
+        Some(self.listing(now))
+    }
+
+    pub fn listing(&self, now: u64) -> Listing {
+        let percent = |work: &Work| {
+            let whole = work.ends.saturating_sub(work.began).max(1);
+            (now.saturating_sub(work.began) * 100 / whole).min(99) as u8
+        };
+        Listing {
+            born: self.born,
+            clock: self.clock(now),
+            running: self
+                .running
+                .iter()
+                .map(|(number, work)| Running {
+                    name: work.name,
+                    number: *number,
+                    percent: percent(work),
+                })
+                .collect(),
+            ended: self.ended.clone(),
+        }
+    }
+
+    pub fn has_ended(&self) -> bool {
+        !self.ended.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/core/tests/spool_random.rs
@@ -0,0 +1,221 @@
+//! Random runs of the spool under faults: no task runs twice at a time, no server gets more than
+//! it holds, a job that was refused each time has not run.
+//!
+//! `IBISSPOOL_SEEDS` sets the number of seeds and `IBISSPOOL_FIRST_SEED` the first one.
+
+#[path = "spool/world.rs"]
+mod world;
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use world::{Fault, Job, MS, Mutant, Plan, Seen, World, distinct};
+
+/// Seeds of a run without `IBISSPOOL_SEEDS`.
+const SEEDS: u64 = 1_500;
+
+/// Seeds within which each deliberate mistake has to be caught.
+const MUTANT_SEEDS: u64 = 4_000;
+
+/// Threads that share the seeds.
+const THREADS: usize = 4;
+
+fn number(variable: &str, otherwise: u64) -> u64 {
+    std::env::var(variable).map_or(otherwise, |text| {
+        text.parse().expect("the variable must be a number")
+    })
+}
+
+fn fault(random: &mut SmallRng, entries: usize, servers: usize) -> Fault {
+    let entry = random.random_range(0..entries);
+    let server = random.random_range(0..servers);
+    let time = [50, 300, 700, 1_500, 4_000][random.random_range(0..5)] * MS;
+    match random.random_range(0..9) {
+        0 => Fault::KillEntry(entry, time),
+        1 => Fault::KillAgent(server, time),
+        2 | 3 => Fault::PauseEntry(entry, time),
+        4 => Fault::PauseAgent(server, time),
+        5 => Fault::Reset(entry, server),
+        6 => Fault::Reborn(server),
+        7 => Fault::Slow(server, random.random_range(2..8), time),
+        _ => {
+            let (up, down) =
+                [(true, true), (true, false), (false, true)][random.random_range(0..3)];
+            Fault::Cut(entry, server, time, up, down)
+        }
+    }
+}
+
+/// Draws a plan of few jobs whose callers ask again, and many faults.
+fn plan(seed: u64, mutant: Option<Mutant>) -> Plan {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let entries = random.random_range(2..4);
+    let servers = random.random_range(2..4);
+    let executors = (0..servers)
+        .map(|_| {
+            (
+                random.random_range(2..6) * 1_000,
+                random.random_range(0.8..2.0),
+            )
+        })
+        .collect();
+    let jobs: Vec<(u64, Job)> = (0..random.random_range(4..20))
+        .map(|index| {
+            let work = [60, 200, 900, 3_000][random.random_range(0..4)] * MS;
+            let job = Job {
+                id: seed * 1_000 + index,
+                queue: random.random_range(0..3),
+                tasks: random.random_range(1..4),
+                cpu: 1_000,
+                work,
+                declared: work * random.random_range(60..140) / 100,
+                budget: [1_000, 1_500, 2_800][random.random_range(0..3)] * MS,
+                fails: random.random_bool(0.05),
+            };
+            (random.random_range(500..4_000) * MS, job)
+        })
+        .collect();
+    let mut faults: Vec<(u64, Fault)> = (0..random.random_range(2..9))
+        .map(|_| {
+            let at = random.random_range(600..6_000) * MS;
+            (at, fault(&mut random, entries, servers))
+        })
+        .collect();
+    if random.random_bool(0.2) {
+        faults.push((random.random_range(600..4_000) * MS, Fault::Drain(0)));
+    }
+    let late_orders = if random.random_bool(0.5) { 0.15 } else { 0.0 };
+    let lost_answers = if random.random_bool(0.3) { 0.1 } else { 0.0 };
+    Plan {
+        seed,
+        entries,
+        executors,
+        mutant,
+        late_orders,
+        lost_answers,
+        faults,
+        jobs,
+        end: 14_000 * MS,
+    }
+}
+
+fn run_all(first: u64, count: u64, mutant: Option<Mutant>, stop_early: bool) -> Vec<(u64, Seen)> {
+    let next = AtomicU64::new(first);
+    let results = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= first + count {
+                        return;
+                    }
+                    let result = World::new(plan(seed, mutant)).run();
+                    let broken = !result.violations.is_empty();
+                    results
+                        .lock()
+                        .expect("no thread panics")
+                        .push((seed, result));
+                    if broken && stop_early {
+                        next.store(first + count, Ordering::Relaxed);
+                    }
+                }
+            });
+        }
+    });
+    results.into_inner().expect("no thread panics")
+}
+
+#[test]
+fn no_promise_is_broken_under_faults() {
+    let first = number("IBISSPOOL_FIRST_SEED", 1);
+    let count = number("IBISSPOOL_SEEDS", SEEDS);
+
+    let seen = run_all(first, count, None, false);
+
+    let sum = |of: fn(&Seen) -> u64| seen.iter().map(|(_seed, seen)| of(seen)).sum::<u64>();
+    println!(
+        "seeds {first} to {}: {} starts, {} jobs complete, {} resubmissions, {} refusals",
+        first + count - 1,
+        sum(|seen| seen.starts),
+        sum(|seen| seen.completed),
+        sum(|seen| seen.resubmitted),
+        sum(|seen| seen.refused),
+    );
+    let broken: Vec<_> = seen
+        .iter()
+        .filter(|(_seed, seen)| !seen.violations.is_empty())
+        .map(|(seed, seen)| (seed, &seen.violations[0]))
+        .take(5)
+        .collect();
+    assert!(broken.is_empty(), "broken promises: {broken:#?}");
+    assert!(
+        sum(|seen| seen.completed) > count,
+        "the runs serve too little to say anything"
+    );
+    assert!(
+        sum(|seen| seen.resubmitted) > count / 2,
+        "the runs resubmit too little"
+    );
+}
+
+fn is_caught(mutant: Mutant) -> bool {
+    run_all(1, MUTANT_SEEDS, Some(mutant), true)
+        .iter()
+        .any(|(_seed, seen)| !seen.violations.is_empty())
+}
+
+#[test]
+fn an_order_that_starts_whatever_its_echo_is_caught() {
+    assert!(is_caught(Mutant::FreshEcho));
+}
+
+#[test]
+fn a_clock_that_stands_still_in_a_pause_is_caught() {
+    assert!(is_caught(Mutant::SteadyClock));
+}
+
+#[test]
+fn an_agent_that_waits_for_a_silent_entry_is_caught() {
+    assert!(is_caught(Mutant::Patient));
+}
+
+#[test]
+fn a_lease_that_is_too_long_is_caught() {
+    assert!(is_caught(Mutant::LongLease));
+}
+
+#[test]
+fn an_entry_that_keeps_jobs_of_callers_who_left_is_caught() {
+    assert!(is_caught(Mutant::NoClose));
+}
+
+#[test]
+fn orphans_that_run_elsewhere_at_once_are_caught() {
+    assert!(is_caught(Mutant::HastyOrphans));
+}
+
+#[test]
+fn the_lease_covers_for_stops_that_never_arrive() {
+    let first = number("IBISSPOOL_FIRST_SEED", 1);
+    let count = number("IBISSPOOL_SEEDS", SEEDS);
+
+    let seen = run_all(first, count, Some(Mutant::NoStop), false);
+
+    let twice = |seen: &Seen| seen.violations.iter().any(|text| text.contains("twice"));
+    let broken: Vec<u64> = seen
+        .iter()
+        .filter(|(_seed, seen)| twice(seen))
+        .map(|(seed, _seen)| *seed)
+        .collect();
+    assert!(broken.is_empty(), "seeds {broken:?} run a task twice");
+}
+
+#[test]
+fn plans_give_each_job_an_id_of_its_own() {
+    for seed in 1..50 {
+        assert!(distinct(&plan(seed, None).jobs));
+    }
+}
--- a/crates/entry/src/spool/hub.rs
+++ b/crates/entry/src/spool/hub.rs
@@ -92,6 +92,7 @@
                         sender.send(&order);
                     }
                 }
+                Action::Retried(reason) => self.meter.retry(reason),
                 Action::Note(note) => common::write(PREFIX, &note),
             }
         }
--- a/crates/entry/src/spool/metrics.rs
+++ b/crates/entry/src/spool/metrics.rs
@@ -12,8 +12,7 @@
     answers: IntCounterVec,
     refusals: IntCounterVec,
     latency: Histogram,
-    /// Tasks that went elsewhere.
-    pub retries: IntCounter,
+    retries: IntCounterVec,
     /// Callers that went away before their answer.
     pub left: IntCounter,
 }
@@ -26,7 +25,7 @@
             answers: all.family("ibisspool_answers_total", "Answers to jobs", "answer"),
             refusals: all.family("ibisspool_refusals_total", "Jobs turned away", "reason"),
             latency: all.histogram("ibisspool_job_seconds", "Time to the answer of a job"),
-            retries: all.counter("ibisspool_retries_total", "Tasks that were sent again"),
+            retries: all.family("ibisspool_retries_total", "Tasks sent again", "reason"),
             left: all.counter(
                 "ibisspool_left_total",
                 "Callers that left before the answer",
@@ -35,6 +34,11 @@
         }
     }
 
+    /// Counts a task that is sent again.
+    pub fn retry(&self, reason: &str) {
+        self.retries.with_label_values(&[reason]).inc();
+    }
+
     /// Counts an answer.
     pub fn answer(&self, answer: Answer, seconds: f64) {
         let label = match answer {
--- a/crates/kernel/src/web/client.rs
+++ b/crates/kernel/src/web/client.rs
@@ -106,7 +106,7 @@
         match path.parse() {
             Ok(uri) => *request.uri_mut() = uri,
             Err(error) => {
-                log::error!("http: A path of ours is malformed. path={path} error={error}")
+                log::error!("http: A path of ours is malformed. path={path} error={error}");
             }
         }
         let fields = request.headers_mut();
