--- a/crates/core/tests/spool/world.rs
+++ b/crates/core/tests/spool/world.rs
@@ -1,8 +1,5 @@
 //! Entries, agents, backend servers and callers in virtual time, over the real decision code.
 
-#[path = "executor.rs"]
-mod executor;
-
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
 use std::sync::Arc;
@@ -20,7 +17,7 @@
 use rand::{Rng, SeedableRng};
 use smallvec::smallvec;
 
-pub use executor::{Executor, Work};
+use ibisspool_standin::executor::{Executor, Work};
 
 pub const MS: u64 = 1_000;
 
--- a/crates/entry/src/spool/hub.rs
+++ b/crates/entry/src/spool/hub.rs
@@ -40,7 +40,7 @@
     pub fn new(settings: &Settings) -> Rc<Self> {
         let me = Member {
             name: settings.common.name.clone(),
-            address: settings.peer_listen,
+            address: settings.advertise,
         };
         let entry = Entry::new(me.clone(), settings.common.safety, rand::random());
         Rc::new(Self {
--- a/crates/entry/src/spool/settings.rs
+++ b/crates/entry/src/spool/settings.rs
@@ -17,6 +17,8 @@
     pub ready_listen: SocketAddr,
     /// Address for agents and other entries.
     pub peer_listen: SocketAddr,
+    /// Where agents and other entries reach it.
+    pub advertise: SocketAddr,
 }
 
 impl Settings {
@@ -33,6 +35,11 @@
                 )
                 .required(true),
             )
+            .arg(flag(
+                "advertise",
+                "IP:PORT",
+                "Where agents and other entries reach that address, if it is another one",
+            ))
     }
 
     /// Reads and checks the settings.
@@ -41,11 +48,18 @@
     /// Fails if a setting is not allowed.
     pub fn read(matches: &ArgMatches) -> Result<Self, Error> {
         const ADDRESS: &str = "an address such as 10.0.0.1:8080";
+        let peer_listen = read(matches, "peer-listen", ADDRESS)?;
+        let advertise = if matches.contains_id("advertise") {
+            read(matches, "advertise", ADDRESS)?
+        } else {
+            peer_listen
+        };
         Ok(Self {
             common: spool::Settings::read(matches)?,
             listen: read(matches, "listen", ADDRESS)?,
             ready_listen: read(matches, "ready-listen", ADDRESS)?,
-            peer_listen: read(matches, "peer-listen", ADDRESS)?,
+            peer_listen,
+            advertise,
         })
     }
 }
--- a/crates/kernel/src/spool.rs
+++ b/crates/kernel/src/spool.rs
@@ -153,9 +153,9 @@
 ///
 /// # Errors
 /// Fails if the runtime cannot start or the future fails.
-pub fn block_on<F>(process: F) -> Result<()>
+pub fn block_on<F, R>(process: F) -> Result<R>
 where
-    F: Future<Output = Result<()>>,
+    F: Future<Output = Result<R>>,
 {
     let runtime = Builder::new_current_thread()
         .enable_all()
--- a/crates/standin/src/children.rs
+++ b/crates/standin/src/children.rs
@@ -70,6 +70,11 @@
         self.child.id()
     }
 
+    /// Returns whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Returns what the process has used so far.
     ///
     /// # Errors
--- a/crates/core/tests/spool/executor.rs
+++ b/crates/standin/src/executor.rs
@@ -1,4 +1,5 @@
-//! A backend server as the agents see it: lease, token, lists, orders that arrive late.
+//! A backend server as its agent sees it: lease, token, lists of runs. Time is an argument, so
+//! searches in virtual time and runs of real processes use the same one.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -9,26 +10,37 @@
 /// Longest lease that the platform grants.
 const LONGEST_LEASE_MS: u64 = 1_000;
 
-/// A task at work.
+/// A task at work. Times are in microseconds.
 #[derive(Debug, Clone)]
 pub struct Work {
+    /// Name of the task.
     pub name: TaskName,
+    /// When it began.
     pub began: u64,
+    /// When it ends, if nothing stops it.
     pub ends: u64,
+    /// Whether it fails at its end.
     pub fails: bool,
+    /// Whether it was told to stop.
     pub stops: bool,
+    /// Thousandths of a core.
     pub cpu: u32,
 }
 
+/// A backend server.
 #[derive(Debug, Clone)]
 pub struct Executor {
+    /// Thousandths of a core.
     pub capacity: u32,
     /// Rate of its clock against true time.
     pub rate: f64,
     /// Factor on the work of its tasks.
     pub slowness: f64,
+    /// When it started.
     pub born: u64,
+    /// Longest lease that it grants.
     pub longest_lease_ms: u64,
+    /// What runs, by the number of the start.
     pub running: BTreeMap<u64, Work>,
     ended: Vec<Ended>,
     ends: u64,
@@ -38,6 +50,7 @@
 }
 
 impl Executor {
+    /// Makes a server that runs nothing.
     pub fn new(capacity: u32, rate: f64, slowness: f64, born: u64) -> Self {
         Self {
             capacity,
@@ -99,10 +112,12 @@
         any
     }
 
+    /// Returns what its tasks take of the capacity.
     pub fn used(&self) -> u32 {
         self.running.values().map(|work| work.cpu).sum()
     }
 
+    /// Starts a task unless the lease, the token or the number forbids it.
     pub fn start(
         &mut self,
         number: u64,
@@ -128,6 +143,7 @@
         StartAnswer::Started
     }
 
+    /// Stops a run until `ends` and refuses it from now on; `false` if the token is too low.
     pub fn stop(&mut self, name: TaskName, number: u64, token: u64, ends: u64) -> bool {
         if token < self.token {
             return false;
@@ -157,6 +173,7 @@
         Some(self.listing(now))
     }
 
+    /// Returns both lists.
     pub fn listing(&self, now: u64) -> Listing {
         let percent = |work: &Work| {
             let whole = work.ends.saturating_sub(work.began).max(1);
@@ -178,6 +195,7 @@
         }
     }
 
+    /// Returns whether an end was not acknowledged.
     pub fn has_ended(&self) -> bool {
         !self.ended.is_empty()
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod changes;
 pub mod children;
 pub mod data_centre;
+pub mod executor;
 pub mod faults;
 pub mod history;
 pub mod load;
