perf(spool): admit by the rooms that become free, wait only as long as was expected

Cause, by a replayed load: the wait was reckoned from this entry's queue alone and allowed up to the objective's slack, so an overload filled queues until everything was late; tasks that met a full server, because other entries' work was not yet reported, waited 80 ms there. Now a job is taken if its first tasks have room within 20 ms; a task goes back after twice its expected wait, with the server's true load.

--- a/crates/core/src/spool/agent/queue.rs
+++ b/crates/core/src/spool/agent/queue.rs
@@ -5,7 +5,6 @@
 //! yields to those that can still meet theirs.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use super::super::job::TaskName;
 use super::super::message::{Declined, End};
@@ -13,9 +12,6 @@
 use super::{Action, Agent, Phase, Run, RunKey};
 use crate::time::{Mono, Now};
 
-/// A task that found no room within this time goes back to its entry, which may know a free server.
-const HAND_BACK: Duration = Duration::from_millis(80);
-
 /// Order of starts: on time before late, then by the latest start, then by rank of the queue.
 fn urgency(run: &Run, now: Mono) -> (bool, Mono, u8) {
     let late = run.latest_start < now;
@@ -40,7 +36,7 @@
             let run = &self.runs[key];
             if may_start && self.is_link_alive(run, now.mono) && self.has_room(run, now.mono) {
                 self.start_run(key, now);
-            } else if now.mono.since(run.arrived) >= HAND_BACK {
+            } else if now.mono.since(run.arrived) >= run.start.patience {
                 self.finish(key, End::NotStarted(Declined::Busy), now);
             }
         }
--- a/crates/core/src/spool/agent/report.rs
+++ b/crates/core/src/spool/agent/report.rs
@@ -129,9 +129,7 @@
 
     fn load(&self, now: Mono) -> Load {
         let waiting = || self.runs.values().filter(|run| run.phase == Phase::Queued);
-        let queued = waiting()
-            .map(|run| u64::from(run.start.needs.cpu) * run.start.estimate.as_millis() as u64)
-            .sum();
+        let queued = waiting().map(|run| run.start.needs.cpu).sum();
         let open = if self.is_open() && !self.is_stop_stuck(now) && self.strays.is_empty() {
             let most = self.health.open(self.started_runs(), now).min(MANY);
             most.saturating_sub(waiting().count() as u32)
--- a/crates/core/src/spool/entry/admission.rs
+++ b/crates/core/src/spool/entry/admission.rs
@@ -6,22 +6,33 @@
 
 use std::time::Duration;
 
-/// Work ahead of a new job.
+/// The load that a new job meets, in thousandths of a core over all servers of its service.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Backlog {
-    /// Work that waits ahead of it, in milliseconds x thousandths of a core.
-    pub work: f64,
-    /// Thousandths of a core of all servers that take its tasks.
+    /// What its first tasks need.
+    pub needed: f64,
+    /// What waits ahead of it.
+    pub ahead: f64,
+    /// What is free now.
+    pub free: f64,
+    /// All that the servers have.
     pub capacity: f64,
+    /// Mean run time of a task, in which as much becomes free as the servers have.
+    pub run: Duration,
 }
 
 impl Backlog {
-    /// Returns how long the servers need for the work.
+    /// Returns how long it takes until all its first tasks have room.
     pub fn wait(&self) -> Duration {
+        let missing = self.needed + self.ahead - self.free;
+        if missing <= 0.0 {
+            return Duration::ZERO;
+        }
         if self.capacity <= 0.0 {
-            return Duration::MAX;
+            return LONGEST_ADVICE;
         }
-        Duration::from_secs_f64((self.work / self.capacity / 1_000.0).min(3_600.0))
+        let seconds = missing / self.capacity * self.run.as_secs_f64();
+        Duration::from_secs_f64(seconds.min(LONGEST_ADVICE.as_secs_f64()))
     }
 }
 
@@ -35,13 +46,17 @@
 /// seen: work that other entries have just taken, and run times that are longer than declared.
 const SAFE_PART: f64 = 0.8;
 
+/// Longest wait that is taken on, whatever the slack. A job with much slack that is let in during an
+/// overload later takes the room of jobs that have none.
+const LONGEST_WAIT: Duration = Duration::from_millis(20);
+
 /// Decides whether a job that has to start within `slack` is taken.
 ///
 /// # Errors
 /// Returns when it is worth coming back if the backlog leaves no time for it.
-pub fn admit(backlog: Backlog, slack: Duration) -> Result<(), Duration> {
+pub fn admit(backlog: &Backlog, slack: Duration) -> Result<(), Duration> {
     let wait = backlog.wait();
-    if wait <= slack.mul_f64(SAFE_PART) {
+    if wait <= slack.mul_f64(SAFE_PART).min(LONGEST_WAIT) {
         return Ok(());
     }
     Err(wait.clamp(SHORTEST_ADVICE, LONGEST_ADVICE))
--- a/crates/core/src/spool/entry/agents.rs
+++ b/crates/core/src/spool/entry/agents.rs
@@ -27,7 +27,6 @@
 struct Pending {
     sequence: u64,
     needs: Resources,
-    work: f64,
 }
 
 /// A connected agent.
@@ -56,11 +55,10 @@
             .fold(self.load.free, |free, pending| free.without(&pending.needs))
     }
 
-    /// Returns the work that waits there, with what was sent beyond its room.
+    /// Returns what waits there needs, with what was sent beyond its room.
     pub fn queued(&self) -> f64 {
-        let sent: f64 = self.pending.iter().map(|pending| pending.work).sum();
-        let beyond = if self.free().cpu == 0 { sent } else { 0.0 };
-        self.load.queued as f64 + beyond
+        let sent: u32 = self.pending.iter().map(|pending| pending.needs.cpu).sum();
+        f64::from(self.load.queued + sent.saturating_sub(self.load.free.cpu))
     }
 
     /// Counts a task that goes along with the next order.
@@ -69,7 +67,6 @@
         self.pending.push_back(Pending {
             sequence: self.sequence + 1,
             needs: start.needs,
-            work: f64::from(start.needs.cpu) * start.estimate.as_secs_f64() * 1_000.0,
         });
     }
 
--- a/crates/core/src/spool/entry/dispatch.rs
+++ b/crates/core/src/spool/entry/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::Rng;
 
@@ -9,7 +10,7 @@
 use super::super::message::{Server, Start, Ticket};
 use super::super::note::Note;
 use super::agents::Agent;
-use super::placement::{Candidate, Demand, cost};
+use super::placement::{Candidate, Demand, judge, patience};
 use super::{Entry, Job, LinkKey, Place, Task, TaskKey};
 use crate::time::{Mono, Now};
 
@@ -43,9 +44,9 @@
                 break;
             }
             match self.choose(key, rank, now.mono) {
-                Some(link) => {
+                Some((link, wait)) => {
                     self.waiting.remove(&(rank, key));
-                    let start = self.start(key, rank, link, now.mono);
+                    let start = self.start(key, rank, link, patience(wait), now.mono);
                     orders.entry(link).or_default().push(start);
                 }
                 None => failures += 1,
@@ -68,8 +69,8 @@
         }
     }
 
-    /// Returns the best agent for a task.
-    fn choose(&mut self, key: TaskKey, rank: Rank, now: Mono) -> Option<LinkKey> {
+    /// Returns the best agent for a task, and the expected wait there.
+    fn choose(&mut self, key: TaskKey, rank: Rank, now: Mono) -> Option<(LinkKey, Duration)> {
         let task = &self.tasks[key];
         let job = &self.jobs[task.job];
         let step = &job.request.steps[usize::from(task.step)];
@@ -84,7 +85,8 @@
             run,
             left: last_useful_end.since(now),
         };
-        let mut best: Option<(f64, LinkKey)> = None;
+        let mean_run = self.estimates.mean_run();
+        let mut best: Option<(f64, LinkKey, Duration)> = None;
         for (link, agent) in &self.agents {
             let Some(server) = self.usable(agent, job, now) else {
                 continue;
@@ -97,18 +99,19 @@
                 free: agent.free(),
                 queued: agent.queued(),
                 pace: f64::from(agent.load.pace),
+                mean_run: mean_run.mul_f64(f64::from(agent.load.pace)),
                 tried: task.tried.contains(&agent.number),
                 distance: distance(server, step),
             };
-            let Some(cost) = cost(&candidate, &demand) else {
+            let Some(choice) = judge(&candidate, &demand) else {
                 continue;
             };
-            let cost = cost + self.random.random::<f64>() * JITTER;
-            if best.is_none_or(|(least, _link)| cost < least) {
-                best = Some((cost, link));
+            let cost = choice.cost + self.random.random::<f64>() * JITTER;
+            if best.is_none_or(|(least, _link, _wait)| cost < least) {
+                best = Some((cost, link, choice.wait));
             }
         }
-        best.map(|(_cost, link)| link)
+        best.map(|(_cost, link, wait)| (link, wait))
     }
 
     /// Returns the server of an agent if tasks of the job may go there now.
@@ -141,7 +144,14 @@
     }
 
     /// Gives a task to an agent.
-    fn start(&mut self, key: TaskKey, rank: Rank, link: LinkKey, now: Mono) -> Start {
+    fn start(
+        &mut self,
+        key: TaskKey,
+        rank: Rank,
+        link: LinkKey,
+        patience: Duration,
+        now: Mono,
+    ) -> Start {
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
         let task = &mut self.tasks[key];
@@ -163,6 +173,7 @@
             needs: step.needs,
             estimate: self.run_time(job, step),
             slack_us: rank.latest_start.0.cast_signed() - now.0.cast_signed(),
+            patience,
             priority: rank.priority,
             retried: task.failures > 0,
             service: Arc::clone(&job.queue.service),
--- a/crates/core/src/spool/entry/estimate.rs
+++ b/crates/core/src/spool/entry/estimate.rs
@@ -15,9 +15,20 @@
 const UNKNOWN: Duration = Duration::from_millis(200);
 
 /// Mean run times by queue.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Estimates {
     means: HashMap<Arc<str>, f64>,
+    /// Mean over the tasks of all queues, in seconds.
+    mean: f64,
+}
+
+impl Default for Estimates {
+    fn default() -> Self {
+        Self {
+            means: HashMap::new(),
+            mean: UNKNOWN.as_secs_f64(),
+        }
+    }
 }
 
 impl Estimates {
@@ -26,6 +37,12 @@
         let usual = ran.as_secs_f64() / f64::from(pace.max(0.1));
         let mean = self.means.entry(Arc::clone(queue)).or_insert(usual);
         *mean += (usual - *mean) * WEIGHT;
+        self.mean += (usual - self.mean) * WEIGHT;
+    }
+
+    /// Returns the mean run time of a task on a server of usual speed.
+    pub fn mean_run(&self) -> Duration {
+        Duration::from_secs_f64(self.mean)
     }
 
     /// Returns the expected run time on a server of usual speed.
--- a/crates/core/src/spool/entry/jobs.rs
+++ b/crates/core/src/spool/entry/jobs.rs
@@ -65,11 +65,7 @@
             return Err((Refusal::NoBackend, SOON));
         }
         let rank = self.rank(job, 0);
-        let backlog = self.backlog(job, rank);
-        if backlog.work <= 0.0 {
-            return Ok(());
-        }
-        admit(backlog, rank.latest_start.since(now))
+        admit(&self.backlog(job), rank.latest_start.since(now))
             .map_err(|retry_after| (Refusal::Overloaded, retry_after))
     }
 
@@ -84,28 +80,32 @@
         known.peek().is_some() && !known.any(|server| server.capacity.fits(&step.needs))
     }
 
-    /// Returns the work ahead of a rank, here and at the agents.
-    fn backlog(&self, job: &Job, rank: Rank) -> Backlog {
-        let mut backlog = Backlog::default();
-        let ahead = self
-            .waiting
-            .iter()
-            .take_while(|(other, _key)| *other < rank);
-        for (_rank, key) in ahead {
+    /// Returns the load that a new job meets.
+    fn backlog(&self, job: &Job) -> Backlog {
+        let first = |step: &&Step| step.after.is_empty();
+        let needed = job.request.steps.iter().filter(first);
+        let mut backlog = Backlog {
+            needed: needed
+                .map(|step| f64::from(step.needs.cpu * step.tasks))
+                .sum(),
+            run: self.estimates.mean_run().mul_f64(self.usual_pace),
+            ..Backlog::default()
+        };
+        for (_rank, key) in &self.waiting {
             let task = &self.tasks[*key];
-            let other = &self.jobs[task.job];
-            let step = &other.request.steps[usize::from(task.step)];
-            backlog.work += f64::from(step.needs.cpu) * self.run_time(other, step).as_secs_f64();
+            let step = &self.jobs[task.job].request.steps[usize::from(task.step)];
+            backlog.ahead += f64::from(step.needs.cpu);
         }
         // The other entries take about as many jobs as this one.
-        backlog.work *= 1_000.0 * self.members.len() as f64;
+        backlog.ahead *= self.members.len() as f64;
         for agent in self.agents.values() {
             if let Some(server) = agent.server.as_ref()
                 && server.service == job.queue.service
                 && agent.load.open > 0
             {
-                backlog.capacity +=
-                    f64::from(server.capacity.cpu) / f64::from(agent.load.pace.max(0.1));
+                backlog.capacity += f64::from(server.capacity.cpu);
+                backlog.free += f64::from(agent.free().cpu);
+                backlog.ahead += f64::from(agent.load.queued);
             }
         }
         backlog
--- a/crates/core/src/spool/entry/placement.rs
+++ b/crates/core/src/spool/entry/placement.rs
@@ -11,6 +11,9 @@
 /// Longest expected wait in an agent's own queue, enough to hide the way from the entry.
 const LONGEST_QUEUE: Duration = Duration::from_millis(25);
 
+/// Factor on an expected wait: other entries may send their tasks to the same queue.
+const UNSURE: f64 = 2.5;
+
 /// Cost of the last rooms of a server, in seconds: a collision with another entry there costs
 /// about the rest of a short task.
 const CROWDED: f64 = 0.030;
@@ -28,8 +31,10 @@
     pub capacity: Resources,
     /// Room, less what was sent and is not yet in a report.
     pub free: Resources,
-    /// Work waiting there, in milliseconds x thousandths of a core.
+    /// What waits there needs, in thousandths of a core.
     pub queued: f64,
+    /// Mean run time of a task there.
+    pub mean_run: Duration,
     /// Run time there against the estimates.
     pub pace: f64,
     /// Whether the task has failed there before.
@@ -49,8 +54,25 @@
     pub left: Duration,
 }
 
-/// Returns the cost of a candidate in seconds, `None` if it is of no use.
-pub fn cost(candidate: &Candidate, demand: &Demand) -> Option<f64> {
+/// What a candidate is worth.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Choice {
+    /// Cost in seconds; the least wins.
+    pub cost: f64,
+    /// Expected wait for room there.
+    pub wait: Duration,
+}
+
+/// Returns how long a task may wait where room is expected after `wait`. A task that meets a full
+/// server although it was expected to be free goes back at once, with the server's true load.
+pub fn patience(wait: Duration) -> Duration {
+    /// Time in which a room becomes free on a server that has just filled up.
+    const LEAST: Duration = Duration::from_millis(5);
+    LEAST + wait * 2
+}
+
+/// Returns what a candidate is worth, `None` if it is of no use.
+pub fn judge(candidate: &Candidate, demand: &Demand) -> Option<Choice> {
     if !candidate.capacity.fits(&demand.needs) {
         return None;
     }
@@ -59,9 +81,8 @@
     let wait = if candidate.free.fits(&demand.needs) {
         0.0
     } else {
-        (candidate.queued + demand.run.as_secs_f64() * 500.0 * needed)
-            / f64::from(candidate.capacity.cpu.max(1))
-            / 1_000.0
+        (candidate.queued + needed) / f64::from(candidate.capacity.cpu.max(1))
+            * candidate.mean_run.as_secs_f64()
     };
     if wait > LONGEST_QUEUE.as_secs_f64() {
         return None;
@@ -72,5 +93,8 @@
     }
     let crowd = CROWDED * (1.0 - free / needed / ROOMS).max(0.0);
     let tried = if candidate.tried { TRIED } else { 0.0 };
-    Some(wait + run + crowd + tried)
+    Some(Choice {
+        cost: wait * UNSURE + run + crowd + tried,
+        wait: Duration::from_secs_f64(wait),
+    })
 }
--- a/crates/core/src/spool/message.rs
+++ b/crates/core/src/spool/message.rs
@@ -41,6 +41,8 @@
     pub estimate: Duration,
     /// Time left until the task must start to meet its objective; negative if that has passed.
     pub slack_us: i64,
+    /// How long the task may wait for room here; then it goes back to its entry.
+    pub patience: Duration,
     /// Rank of its queue; 0 comes first.
     pub priority: u8,
     /// Whether the task has failed elsewhere; then a failure says little about this server.
@@ -84,8 +86,8 @@
 pub struct Load {
     /// Resources not yet given to tasks that run or wait here.
     pub free: Resources,
-    /// Work that waits here, in milliseconds x thousandths of a core.
-    pub queued: u64,
+    /// What waits here needs, in thousandths of a core.
+    pub queued: u32,
     /// Most tasks that may be added; small while the server is on probation.
     pub open: u32,
     /// Run time here against the estimates, 1 for a server of usual speed.
--- a/crates/core/tests/spool/world.rs
+++ b/crates/core/tests/spool/world.rs
@@ -226,6 +226,16 @@
     boots: (u64, u64),
 }
 
+/// Jobs of one queue.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Tally {
+    pub asked: u64,
+    /// Served within the objective.
+    pub in_time: u64,
+    /// Served within three objectives.
+    pub late: u64,
+}
+
 /// What callers saw, and what was broken.
 #[derive(Debug, Default, Clone)]
 pub struct Seen {
@@ -235,13 +245,20 @@
     pub expired: u64,
     pub failed: u64,
     pub resubmitted: u64,
-    /// By queue: jobs asked, and served within their objective.
-    pub asked: BTreeMap<usize, (u64, u64)>,
+    /// By queue.
+    tallies: BTreeMap<usize, Tally>,
     /// Times until refusals.
     pub refused_after: Vec<u64>,
     pub violations: Vec<String>,
 }
 
+impl Seen {
+    /// Returns the jobs of a queue.
+    pub fn tally(&self, queue: usize) -> Tally {
+        self.tallies.get(&queue).copied().unwrap_or_default()
+    }
+}
+
 struct Caller {
     job: Job,
     first: u64,
@@ -387,6 +404,7 @@
             self.at(at, Event::Fault(fault));
         }
         for (at, job) in self.plan.jobs.clone() {
+            self.seen.tallies.entry(job.queue).or_default().asked += 1;
             let index = self.callers.len();
             self.callers.push(Caller {
                 job,
@@ -658,10 +676,12 @@
         };
         match process {
             Process::Entry(index) => {
-                let me = Member {
+                let member = |index: usize| Member {
                     name: format!("entry-{index}"),
                     address: ([10, 0, 0, index as u8], 7_000).into(),
                 };
+                let me = member(index);
+                let all: Vec<Member> = (0..self.plan.entries).map(member).collect();
                 let mut safety = self.safety;
                 if self.plan.mutant == Some(Mutant::HastyOrphans) {
                     safety.silence = Duration::from_millis(1);
@@ -669,6 +689,7 @@
                     safety.lease = Duration::from_millis(1);
                 }
                 let mut entry = Entry::new(me, safety, self.random.random());
+                entry.learn_members(&all);
                 entry.set_catalogue(Arc::new(catalogue()), "test", now);
                 let slot = &mut self.entries[index];
                 if slot.entry.is_none() {
@@ -1361,15 +1382,15 @@
         match answer {
             Some(Answer::Completed) => {
                 self.seen.completed += 1;
-                let asked = self.seen.asked.entry(queue).or_default();
-                asked.0 += 1;
-                asked.1 += u64::from(took <= work * 16 / 10 + 60 * MS);
+                let objective = work * 16 / 10 + 60 * MS;
+                let tally = self.seen.tallies.entry(queue).or_default();
+                tally.in_time += u64::from(took <= objective);
+                tally.late += u64::from(took > objective && took <= 3 * objective);
             }
             Some(Answer::Failed) => self.seen.failed += 1,
             Some(Answer::Refused { retry_after, .. }) => {
                 caller.refusals += 1;
                 self.seen.refused += 1;
-                self.seen.asked.entry(queue).or_default().0 += 1;
                 self.seen.refused_after.push(took);
                 if took < 3_000 * MS && self.plan.late_orders > 0.0 {
                     self.resubmit(job, attempt, retry_after);
@@ -1377,7 +1398,6 @@
             }
             Some(Answer::Expired) => {
                 self.seen.expired += 1;
-                self.seen.asked.entry(queue).or_default().0 += 1;
                 self.resubmit(job, attempt, self.safety.resubmit);
             }
             None => self.resubmit(job, attempt, self.safety.resubmit),
