fix(entry): a planned stop closes idle connections before the process ends

Now, once the platform sends no new connections, those without a request close and the others after their answer.

--- a/crates/core/src/spool/agent.rs
+++ b/crates/core/src/spool/agent.rs
@@ -10,7 +10,7 @@
 mod report;
 mod run;
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use slotmap::{SlotMap, new_key_type};
@@ -85,7 +85,7 @@
     out_of_service: (u64, Vec<String>),
     links: SlotMap<LinkKey, Link>,
     runs: SlotMap<RunKey, Run>,
-    by_number: HashMap<u64, RunKey>,
+    by_number: BTreeMap<u64, RunKey>,
     strays: Vec<Stray>,
     health: Health,
     token: u64,
@@ -108,7 +108,7 @@
             out_of_service: (0, Vec::new()),
             links: SlotMap::with_key(),
             runs: SlotMap::with_key(),
-            by_number: HashMap::new(),
+            by_number: BTreeMap::new(),
             strays: Vec::new(),
             health: Health::default(),
             token: now.wall.0,
--- a/crates/entry/src/spool.rs
+++ b/crates/entry/src/spool.rs
@@ -13,6 +13,7 @@
 use anyhow::{Context, Result};
 use ibisspool_kernel::log::Batch;
 use ibisspool_kernel::spool::{self as common, Signals};
+use ibisspool_kernel::web::Closer;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
@@ -60,7 +61,10 @@
 
     spawn_local(common::flush_logs(logs));
     spawn_local(common::serve_metrics(common.metrics, hub.metrics()));
-    spawn_local(callers::serve(callers, Rc::clone(&hub)));
+    let mut closer = Closer::new();
+    if let Some(closing) = closer.take() {
+        spawn_local(callers::serve(callers, Rc::clone(&hub), closing));
+    }
     spawn_local(callers::serve_readiness(ready, Rc::clone(&hub)));
     spawn_local(links::serve(peers, Rc::clone(&hub)));
     spawn_local(links::dial_members(
@@ -72,7 +76,7 @@
     spawn_local(tick(Rc::clone(&hub)));
 
     Signals::new()?.stop().await;
-    stop(&hub, common.grace).await;
+    stop(&hub, &mut closer, common.grace).await;
     Ok(())
 }
 
@@ -89,15 +93,17 @@
     }
 }
 
-/// Finishes what was taken. Open connections are served until their callers leave.
-async fn stop(hub: &Hub, grace: Duration) {
+/// Finishes what was taken. Open connections are served until the platform sends no new ones; then
+/// those without a request close, and the others after their answer.
+async fn stop(hub: &Hub, closer: &mut Closer, grace: Duration) {
     let began = Instant::now();
     hub.stop();
     log::info!("serve: Planned stop. jobs={}", hub.open_jobs());
     let latest = grace.saturating_sub(LAST_ANSWERS);
-    let earliest = NOTICE.min(latest);
-    while began.elapsed() < latest && (began.elapsed() < earliest || hub.open_jobs() > 0) {
-        tokio::time::sleep(TICK).await;
+    tokio::time::sleep(NOTICE.min(latest)).await;
+    let left = latest.saturating_sub(began.elapsed());
+    if tokio::time::timeout(left, closer.close()).await.is_err() {
+        log::warn!("serve: Connections are still open at the end of the grace.");
     }
     log::info!("serve: Stopped. jobs={}", hub.open_jobs());
 }
--- a/crates/entry/src/spool/callers.rs
+++ b/crates/entry/src/spool/callers.rs
@@ -8,14 +8,14 @@
 use ibisspool_core::spool::entry::JobKey;
 use ibisspool_core::spool::job::Request;
 use ibisspool_kernel::spool::OWN_LIMITS;
-use ibisspool_kernel::web::{self, Call, Reply};
+use ibisspool_kernel::web::{self, Call, Closing, Reply};
 use ibisspool_platform::caller::{self, Ask};
 use tokio::net::TcpListener;
 
 use super::hub::Hub;
 
-/// Answers callers.
-pub async fn serve(listener: TcpListener, hub: Rc<Hub>) {
+/// Answers callers until their connections are to close.
+pub async fn serve(listener: TcpListener, hub: Rc<Hub>, closing: Closing) {
     let limits = {
         let hub = Rc::clone(&hub);
         move || {
@@ -31,7 +31,8 @@
             }
         }
     };
-    web::serve(listener, limits, move |call| answer(Rc::clone(&hub), call)).await;
+    let answer = move |call| answer(Rc::clone(&hub), call);
+    web::serve_until(listener, limits, answer, closing).await;
 }
 
 async fn answer(hub: Rc<Hub>, call: Call) -> Reply {
--- a/crates/kernel/src/web/server.rs
+++ b/crates/kernel/src/web/server.rs
@@ -1,6 +1,7 @@
 //! Serves HTTP/1.1 connections on the thread that calls it.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
 
 /// Least buffer that the library allows for a request's head.
@@ -115,9 +117,76 @@
     }
 }
 
+/// Tells a server's connections when to close.
+#[derive(Debug, Clone)]
+pub struct Closing {
+    asked: watch::Receiver<bool>,
+    /// Clones held by connections keep this channel open.
+    _open: mpsc::Sender<Infallible>,
+}
+
+/// Closes a server's connections.
+#[derive(Debug)]
+pub struct Closer {
+    ask: watch::Sender<bool>,
+    closing: Option<Closing>,
+    open: mpsc::Receiver<Infallible>,
+}
+
+impl Closer {
+    /// Makes a closer for one server.
+    pub fn new() -> Self {
+        let (ask, asked) = watch::channel(false);
+        let (held, open) = mpsc::channel(1);
+        let closing = Some(Closing { asked, _open: held });
+        Self { ask, closing, open }
+    }
+
+    /// Returns what the server needs; `None` at the second call.
+    pub fn take(&mut self) -> Option<Closing> {
+        self.closing.take()
+    }
+
+    /// Takes no more connections, closes those without a request, the others after their answer,
+    /// and waits until all are closed.
+    pub async fn close(&mut self) {
+        self.ask.send_replace(true);
+        // No message is ever sent: this ends when the last connection is closed.
+        let _closed = self.open.recv().await;
+    }
+}
+
+impl Default for Closer {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Closing {
+    /// Waits until the connections are to close; for ever if nobody is left to ask.
+    async fn wait(&mut self) {
+        if self.asked.wait_for(|asked| *asked).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
 /// Accepts connections and answers their requests with `handle`. If a caller ends its connection
 /// while it waits, the future of its answer is dropped.
 pub async fn serve<L, H, F>(listener: TcpListener, limits: L, handle: H)
+where
+    L: Fn() -> Limits,
+    H: Fn(Call) -> F + 'static,
+    F: Future<Output = Reply> + 'static,
+{
+    let mut closer = Closer::new();
+    if let Some(closing) = closer.take() {
+        serve_until(listener, limits, handle, closing).await;
+    }
+}
+
+/// Does as [`serve`] until the connections are to close.
+pub async fn serve_until<L, H, F>(listener: TcpListener, limits: L, handle: H, mut closing: Closing)
 where
     L: Fn() -> Limits,
     H: Fn(Call) -> F + 'static,
@@ -125,9 +194,14 @@
 {
     let handle = Rc::new(handle);
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closing.wait() => return,
+        };
+        match accepted {
             Ok((stream, _from)) => {
-                spawn_local(connection(stream, limits(), Rc::clone(&handle)));
+                let connection = connection(stream, limits(), Rc::clone(&handle), closing.clone());
+                spawn_local(connection);
             }
             Err(error) => {
                 log::warn!("http: Cannot accept a connection. error={error}");
@@ -137,7 +211,7 @@
     }
 }
 
-async fn connection<H, F>(stream: TcpStream, limits: Limits, handle: Rc<H>)
+async fn connection<H, F>(stream: TcpStream, limits: Limits, handle: Rc<H>, mut closing: Closing)
 where
     H: Fn(Call) -> F + 'static,
     F: Future<Output = Reply> + 'static,
@@ -158,12 +232,19 @@
             Ok::<_, Infallible>(reply.into_response())
         }
     };
-    let served = http1::Builder::new()
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.head_bytes.max(LEAST_HEAD))
-        .serve_connection(TokioIo::new(stream), service_fn(answer))
-        .await;
+        .serve_connection(TokioIo::new(stream), service_fn(answer));
+    let mut connection = pin!(connection);
+    let served = tokio::select! {
+        served = connection.as_mut() => served,
+        () = closing.wait() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
     if let Err(error) = served {
         log::debug!("http: A connection ended. error={error}");
     }
