fix(entry): a planned stop answers every job before the process ends; placement avoids full servers

An expected wait in another server's queue counts twelvefold, since other entries send there too; the last rooms count as 50 ms; objectives rest on the servers' mean speed; less urgent queues leave 3% of the servers to each rank before them. Ruled out: longer and shorter agent queues, more jitter.

--- a/crates/core/src/spool/entry.rs
+++ b/crates/core/src/spool/entry.rs
@@ -154,7 +154,8 @@
     /// Mean run time on all servers against the estimates.
     usual_pace: f64,
     random: SmallRng,
-    stopping: bool,
+    /// Set by a planned stop: when each job has to be answered.
+    stopping: Option<Mono>,
     actions: Vec<Action>,
 }
 
@@ -176,7 +177,7 @@
             estimates: Estimates::default(),
             usual_pace: 1.0,
             random: SmallRng::seed_from_u64(seed),
-            stopping: false,
+            stopping: None,
             actions: Vec::new(),
         }
     }
@@ -233,17 +234,21 @@
 
     /// Returns whether callers are served: a catalogue and an agent are known.
     pub fn is_ready(&self) -> bool {
-        !self.stopping && self.catalogue.is_some() && !self.agents.is_empty()
+        self.stopping.is_none() && self.catalogue.is_some() && !self.agents.is_empty()
     }
 
-    /// Starts the planned stop: the jobs here end, and callers on open connections go on.
-    pub fn stop(&mut self) {
-        self.stopping = true;
+    /// Starts the planned stop: callers on open connections go on, and every job is answered by
+    /// `until`.
+    pub fn stop(&mut self, until: Mono) {
+        self.stopping = Some(until);
+        for job in self.jobs.values_mut() {
+            job.deadline = job.deadline.min(until);
+        }
     }
 
     /// Returns whether the planned stop has begun.
     pub fn is_stopping(&self) -> bool {
-        self.stopping
+        self.stopping.is_some()
     }
 
     /// Returns the number of jobs whose callers wait.
--- a/crates/core/src/spool/entry/admission.rs
+++ b/crates/core/src/spool/entry/admission.rs
@@ -9,6 +9,8 @@
 /// The load that a new job meets, in thousandths of a core over all servers of its service.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Backlog {
+    /// Rank of its queue; 0 comes first.
+    pub priority: u8,
     /// What its first tasks need.
     pub needed: f64,
     /// What waits ahead of it.
@@ -24,7 +26,8 @@
 impl Backlog {
     /// Returns how long it takes until all its first tasks have room.
     pub fn wait(&self) -> Duration {
-        let missing = self.needed + self.ahead - self.free;
+        let reserve = self.capacity * RESERVE * f64::from(self.priority);
+        let missing = self.needed + self.ahead + reserve - self.free;
         if missing <= 0.0 {
             return Duration::ZERO;
         }
@@ -36,6 +39,9 @@
     }
 }
 
+/// Part of the servers that each rank of queues leaves to the ranks before it.
+const RESERVE: f64 = 0.03;
+
 /// Shortest advice: whole seconds are the unit of the header that carries it.
 const SHORTEST_ADVICE: Duration = Duration::from_secs(1);
 
--- a/crates/core/src/spool/entry/estimate.rs
+++ b/crates/core/src/spool/entry/estimate.rs
@@ -62,7 +62,8 @@
 /// A server this many times slower than the median is in trouble and says nothing of the usual.
 const TROUBLE: f32 = 2.5;
 
-/// Returns the mean pace of the servers without those in trouble, 1 if none is known.
+/// Returns the run time on a server of mean speed against the estimates, without the servers in
+/// trouble; 1 if none is known.
 pub fn usual_pace<P>(paces: P) -> f64
 where
     P: Iterator<Item = f32>,
@@ -73,6 +74,6 @@
         return 1.0;
     };
     known.retain(|pace| *pace <= median * TROUBLE);
-    let sum: f32 = known.iter().sum();
-    f64::from(sum) / known.len() as f64
+    let speeds: f32 = known.iter().map(|pace| 1.0 / pace).sum();
+    known.len() as f64 / f64::from(speeds)
 }
--- a/crates/core/src/spool/entry/jobs.rs
+++ b/crates/core/src/spool/entry/jobs.rs
@@ -31,7 +31,10 @@
             tasks: Vec::with_capacity(request.tasks()),
             left: request.tasks(),
             arrived: now.mono,
-            deadline: now.mono.plus(given),
+            deadline: now
+                .mono
+                .plus(given)
+                .min(self.stopping.unwrap_or(Mono(u64::MAX))),
             offered: false,
             started: false,
             queue,
@@ -50,7 +53,8 @@
     /// Judges whether a new job can be served.
     fn judge(&self, key: JobKey, now: Mono) -> Result<(), (Refusal, Duration)> {
         let job = &self.jobs[key];
-        if self.stopping && self.agents.is_empty() {
+        let is_over = |until: Mono| until <= now || self.agents.is_empty();
+        if self.stopping.is_some_and(is_over) {
             return Err((Refusal::Stopping, SOON));
         }
         if job.left == 0 || !is_order_sound(&job.request.steps) {
@@ -85,6 +89,7 @@
         let first = |step: &&Step| step.after.is_empty();
         let needed = job.request.steps.iter().filter(first);
         let mut backlog = Backlog {
+            priority: job.queue.priority,
             needed: needed
                 .map(|step| f64::from(step.needs.cpu * step.tasks))
                 .sum(),
--- a/crates/core/src/spool/entry/placement.rs
+++ b/crates/core/src/spool/entry/placement.rs
@@ -12,11 +12,11 @@
 const LONGEST_QUEUE: Duration = Duration::from_millis(25);
 
 /// Factor on an expected wait: other entries may send their tasks to the same queue.
-const UNSURE: f64 = 2.5;
+const UNSURE: f64 = 12.0;
 
 /// Cost of the last rooms of a server, in seconds: a collision with another entry there costs
 /// about the rest of a short task.
-const CROWDED: f64 = 0.030;
+const CROWDED: f64 = 0.050;
 
 /// Rooms for tasks of this size below which a server counts as crowded.
 const ROOMS: f64 = 3.0;
--- /dev/null
+++ b/crates/core/tests/spool_entry.rs
@@ -0,0 +1,314 @@
+//! Decisions of an entry, one at a time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ibisspool_core::spool::catalogue::{Limits, Queue, Snapshot};
+use ibisspool_core::spool::entry::{Action, Answer, Entry, JobKey, LinkKey, Refusal};
+use ibisspool_core::spool::job::{Id, Request, Resources, Step};
+use ibisspool_core::spool::message::{
+    AgentHello, Declined, End, Load, Member, Order, Outcome, Report, Server, Stamp, Start,
+};
+use ibisspool_core::spool::safety::Safety;
+use ibisspool_core::time::{Mono, Now, Wall};
+use smallvec::{SmallVec, smallvec};
+
+const TASK: Resources = Resources {
+    cpu: 1_600,
+    memory: 64,
+    accelerators: 0,
+};
+
+fn at(millis: u64) -> Now {
+    Now {
+        mono: Mono(millis * 1_000),
+        wall: Wall(millis),
+    }
+}
+
+fn queue() -> Queue {
+    Queue {
+        name: Arc::from("checks"),
+        host: "desk.example".to_owned(),
+        prefix: "/checks/".to_owned(),
+        service: Arc::from("desk"),
+        priority: 0,
+        attempts: 2,
+        timeout: Duration::from_millis(1_500),
+        stretch: 1.6,
+        target: Duration::from_millis(60),
+    }
+}
+
+fn step(tasks: u32, after: SmallVec<[u16; 4]>) -> Step {
+    Step {
+        tasks,
+        needs: TASK,
+        estimate: Duration::from_millis(60),
+        after,
+        label: None,
+        rack: None,
+        spread: None,
+    }
+}
+
+fn request(steps: Vec<Step>) -> Request {
+    Request {
+        id: Id(7),
+        spec: Arc::from("work"),
+        steps,
+        budget: Duration::from_millis(2_000),
+    }
+}
+
+fn snapshot(version: u64, out_of_service: &[&str]) -> Arc<Snapshot> {
+    Arc::new(Snapshot {
+        version,
+        queues: vec![queue()],
+        limits: Limits::default(),
+        out_of_service: out_of_service.iter().map(|&name| name.to_owned()).collect(),
+    })
+}
+
+fn entry() -> Entry {
+    let me = Member {
+        name: "entry-1".to_owned(),
+        address: ([10, 0, 0, 1], 7_000).into(),
+    };
+    let safety = Safety::new(Duration::from_millis(1_300), Duration::from_secs(1));
+    let mut entry = Entry::new(me, safety, 1);
+    entry.set_catalogue(snapshot(1, &[]), "test", at(0));
+    entry
+}
+
+fn report(rooms: u32, outcomes: Vec<Outcome>, now: Now) -> Report {
+    let capacity = Resources {
+        cpu: 16_000,
+        memory: 32_768,
+        accelerators: 0,
+    };
+    Report {
+        stamp: Stamp(now.mono.0),
+        seen: u64::MAX,
+        cleared: false,
+        server: Some(Server {
+            service: Arc::from("desk"),
+            capacity,
+            labels: Vec::new(),
+            ready: true,
+        }),
+        load: Load {
+            free: Resources {
+                cpu: rooms * TASK.cpu,
+                ..capacity
+            },
+            queued: 0,
+            open: 100,
+            pace: 1.0,
+        },
+        outcomes,
+    }
+}
+
+fn agent(entry: &mut Entry, name: &str, rooms: u32, now: Now) -> LinkKey {
+    let hello = AgentHello {
+        name: name.to_owned(),
+        data_centre: "north".to_owned(),
+    };
+    let link = entry.connect(hello, now);
+    entry.report(link, report(rooms, Vec::new(), now), now);
+    entry.take_actions();
+    link
+}
+
+fn orders(entry: &mut Entry) -> Vec<(LinkKey, Order)> {
+    entry
+        .take_actions()
+        .into_iter()
+        .filter_map(|action| match action {
+            Action::Order(link, order) => Some((link, order)),
+            _ => None,
+        })
+        .collect()
+}
+
+fn starts(entry: &mut Entry) -> Vec<(LinkKey, Start)> {
+    orders(entry)
+        .into_iter()
+        .flat_map(|(link, order)| order.starts.into_iter().map(move |start| (link, start)))
+        .collect()
+}
+
+fn answers(entry: &mut Entry) -> Vec<(JobKey, Answer)> {
+    entry
+        .take_actions()
+        .into_iter()
+        .filter_map(|action| match action {
+            Action::Answer(key, answer) => Some((key, answer)),
+            _ => None,
+        })
+        .collect()
+}
+
+fn outcome(start: &Start, end: End) -> Outcome {
+    Outcome {
+        ticket: start.ticket,
+        end,
+        ran: Duration::from_millis(60),
+    }
+}
+
+#[test]
+fn a_job_is_answered_once_all_its_steps_are_done() {
+    let mut entry = entry();
+    let link = agent(&mut entry, "agent-1", 10, at(0));
+    let steps = vec![step(1, smallvec![]), step(1, smallvec![0])];
+    let key = entry.submit(request(steps), queue(), at(1));
+    let first = starts(&mut entry);
+    assert_eq!(first.len(), 1, "the second step waits for the first");
+
+    let done = vec![outcome(&first[0].1, End::Done)];
+    entry.report(link, report(10, done, at(60)), at(60));
+    let second = starts(&mut entry);
+    let done = vec![outcome(&second[0].1, End::Done)];
+    entry.report(link, report(10, done, at(120)), at(120));
+
+    assert_eq!(second[0].1.name.step, 1);
+    assert_eq!(answers(&mut entry), [(key, Answer::Completed)]);
+}
+
+#[test]
+fn a_caller_that_leaves_has_its_tasks_stopped() {
+    let mut entry = entry();
+    agent(&mut entry, "agent-1", 10, at(0));
+    let key = entry.submit(request(vec![step(2, smallvec![])]), queue(), at(1));
+    let sent = starts(&mut entry);
+
+    entry.close(key, at(20));
+
+    let cancels: Vec<_> = orders(&mut entry)
+        .into_iter()
+        .flat_map(|(_link, order)| order.cancels)
+        .collect();
+    assert_eq!(cancels.len(), sent.len());
+}
+
+#[test]
+fn a_task_that_failed_runs_elsewhere_and_the_last_failure_ends_the_job() {
+    let mut entry = entry();
+    let one = agent(&mut entry, "agent-1", 10, at(0));
+    let two = agent(&mut entry, "agent-2", 10, at(0));
+    let key = entry.submit(request(vec![step(1, smallvec![])]), queue(), at(1));
+    let (first, start) = starts(&mut entry).remove(0);
+
+    let failed = vec![outcome(&start, End::Failed)];
+    entry.report(first, report(10, failed, at(10)), at(10));
+    let (second, start) = starts(&mut entry).remove(0);
+    let failed = vec![outcome(&start, End::Failed)];
+    entry.report(second, report(10, failed, at(20)), at(20));
+
+    assert_ne!(first, second);
+    assert!([one, two].contains(&second));
+    assert_eq!(answers(&mut entry), [(key, Answer::Failed)]);
+}
+
+#[test]
+fn a_job_without_room_in_time_is_refused_at_once() {
+    let mut entry = entry();
+    agent(&mut entry, "agent-1", 0, at(0));
+
+    let key = entry.submit(request(vec![step(8, smallvec![])]), queue(), at(1));
+
+    let expected = Answer::Refused {
+        reason: Refusal::Overloaded,
+        retry_after: Duration::from_secs(1),
+    };
+    assert_eq!(answers(&mut entry), [(key, expected)]);
+}
+
+#[test]
+fn nothing_is_sent_to_a_data_centre_out_of_service() {
+    let mut entry = entry();
+    agent(&mut entry, "agent-1", 10, at(0));
+    entry.set_catalogue(snapshot(2, &["north"]), "test", at(1));
+    entry.take_actions();
+
+    entry.submit(request(vec![step(1, smallvec![])]), queue(), at(2));
+
+    assert!(starts(&mut entry).is_empty());
+}
+
+#[test]
+fn an_older_catalogue_never_comes_back() {
+    let mut entry = entry();
+    entry.set_catalogue(snapshot(5, &["north"]), "test", at(1));
+
+    entry.set_catalogue(snapshot(4, &[]), "test", at(2));
+
+    assert_eq!(entry.catalogue().map(|known| known.version), Some(5));
+}
+
+#[test]
+fn an_agent_that_was_silent_gets_no_task() {
+    let mut entry = entry();
+    agent(&mut entry, "agent-1", 10, at(0));
+
+    entry.submit(request(vec![step(1, smallvec![])]), queue(), at(390));
+
+    assert!(starts(&mut entry).is_empty());
+}
+
+#[test]
+fn an_orphan_waits_until_it_is_certain_that_it_does_not_run() {
+    let mut entry = entry();
+    let lost = agent(&mut entry, "agent-1", 10, at(0));
+    entry.submit(request(vec![step(1, smallvec![])]), queue(), at(1));
+    entry.take_actions();
+    entry.disconnect(lost, at(10));
+    let other = agent(&mut entry, "agent-2", 10, at(20));
+    assert!(starts(&mut entry).is_empty());
+
+    let back = agent(&mut entry, "agent-1", 10, at(30));
+    let cleared = Report {
+        cleared: true,
+        ..report(10, Vec::new(), at(40))
+    };
+    entry.report(back, cleared, at(40));
+
+    let sent = starts(&mut entry);
+    assert_eq!(sent.len(), 1);
+    assert!([other, back].contains(&sent[0].0));
+}
+
+#[test]
+fn a_planned_stop_answers_each_job_before_the_process_ends() {
+    let mut entry = entry();
+    agent(&mut entry, "agent-1", 10, at(0));
+    let before = entry.submit(request(vec![step(1, smallvec![])]), queue(), at(1));
+    entry.stop(Mono(500_000));
+    let after = entry.submit(request(vec![step(1, smallvec![])]), queue(), at(100));
+    entry.take_actions();
+
+    entry.tick(at(501));
+
+    let mut answered = answers(&mut entry);
+    answered.sort_by_key(|(key, _answer)| *key);
+    assert_eq!(
+        answered,
+        [(before, Answer::Expired), (after, Answer::Expired)]
+    );
+    assert!(!entry.is_ready());
+}
+
+#[test]
+fn a_task_that_was_handed_back_is_sent_again() {
+    let mut entry = entry();
+    let link = agent(&mut entry, "agent-1", 10, at(0));
+    entry.submit(request(vec![step(1, smallvec![])]), queue(), at(1));
+    let (_link, start) = starts(&mut entry).remove(0);
+
+    let busy = vec![outcome(&start, End::NotStarted(Declined::Busy))];
+    entry.report(link, report(5, busy, at(10)), at(10));
+
+    assert_eq!(starts(&mut entry).len(), 1);
+}
--- a/crates/core/tests/spool_load.rs
+++ b/crates/core/tests/spool_load.rs
@@ -24,6 +24,9 @@
 const TASK_CPU: u32 = 1_600;
 const ROOMS: u32 = 10;
 
+/// Seeds over which a load's worth is averaged.
+const SEEDS: u64 = 4;
+
 const SECOND: u64 = 1_000 * MS;
 
 /// A load as a factor on what the servers can do, over time.
@@ -131,25 +134,28 @@
     (result, outcome)
 }
 
+/// Plays a load with several seeds and returns the mean worth.
 fn report(name: &str, load: &Load) -> f64 {
-    let (result, seen) = play(load, 1);
-    println!(
-        "{name:<28} worth {:.3}; in time {}; late {}; {} refused, {} expired; {} violations",
-        result.worth,
-        (0..3)
-            .map(|q| format!("{} {:.3}", QUEUES[q].0, result.in_time[q]))
-            .collect::<Vec<_>>()
-            .join(" "),
-        (0..3)
-            .map(|q| format!("{:.3}", result.late[q]))
-            .collect::<Vec<_>>()
-            .join(" "),
-        seen.refused,
-        seen.expired,
-        seen.violations.len()
-    );
-    assert!(seen.violations.is_empty(), "{:?}", seen.violations.first());
-    result.worth
+    let mut worth = 0.0;
+    for seed in 1..=SEEDS {
+        let (service, seen) = play(load, seed);
+        let shares = |of: [f64; 3]| {
+            let share = |queue: usize| format!("{} {:.3}", QUEUES[queue].0, of[queue]);
+            [share(0), share(1), share(2)].join(" ")
+        };
+        println!(
+            "{name:<28} worth {:.3}; in time {}; late {}; {} refused, {} expired",
+            service.worth,
+            shares(service.in_time),
+            shares(service.late),
+            seen.refused,
+            seen.expired
+        );
+        assert!(seen.violations.is_empty(), "{:?}", seen.violations);
+        worth += service.worth / SEEDS as f64;
+    }
+    println!("{name:<28} mean worth {worth:.3}");
+    worth
 }
 
 /// Servers of unlike speed, as run times against the usual.
--- a/crates/entry/src/spool.rs
+++ b/crates/entry/src/spool.rs
@@ -97,9 +97,9 @@
 /// those without a request close, and the others after their answer.
 async fn stop(hub: &Hub, closer: &mut Closer, grace: Duration) {
     let began = Instant::now();
-    hub.stop();
-    log::info!("serve: Planned stop. jobs={}", hub.open_jobs());
     let latest = grace.saturating_sub(LAST_ANSWERS);
+    hub.stop(latest.saturating_sub(LAST_ANSWERS));
+    log::info!("serve: Planned stop. jobs={}", hub.open_jobs());
     tokio::time::sleep(NOTICE.min(latest)).await;
     let left = latest.saturating_sub(began.elapsed());
     if tokio::time::timeout(left, closer.close()).await.is_err() {
--- a/crates/entry/src/spool/hub.rs
+++ b/crates/entry/src/spool/hub.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ibisspool_core::spool::catalogue::{Queue, Snapshot};
 use ibisspool_core::spool::entry::{Action, Answer, Entry, JobKey, LinkKey};
@@ -146,9 +147,9 @@
         self.decide(Entry::tick);
     }
 
-    /// Begins the planned stop.
-    pub fn stop(&self) {
-        self.decide(|entry, _now| entry.stop());
+    /// Begins the planned stop: each job is answered within `left`.
+    pub fn stop(&self, left: Duration) {
+        self.decide(|entry, now| entry.stop(now.mono.plus(left)));
     }
 
     /// Returns the number of jobs whose callers wait.
