--- a/crates/core/tests/spool_entry.rs
+++ b/crates/core/tests/spool_entry.rs
@@ -57,7 +57,7 @@
         id: Id(7),
         spec: Arc::from("work"),
         steps,
-        budget: Duration::from_millis(2_000),
+        budget: Duration::from_secs(2),
     }
 }
 
