--- /dev/null
+++ b/crates/core/tests/spool/plan.rs
@@ -0,0 +1,106 @@
+//! What a run plays, and what is seen in it.
+
+use std::collections::{BTreeMap, HashSet};
+
+/// Deliberate mistakes that the checks must catch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mutant {
+    /// Each order looks as if it echoed the newest stamp.
+    FreshEcho,
+    /// Agents count time on a clock that stands still while they are suspended.
+    SteadyClock,
+    /// Agents do not notice that an entry is silent.
+    Patient,
+    /// The lease is five times as long.
+    LongLease,
+    /// Entries do not learn that a caller has gone.
+    NoClose,
+    /// Stops never reach the backend server.
+    NoStop,
+    /// An entry lets an orphan run elsewhere at once.
+    HastyOrphans,
+}
+
+/// What callers ask for, and what goes wrong.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    pub seed: u64,
+    pub entries: usize,
+    pub executors: Vec<(u32, f64)>,
+    pub mutant: Option<Mutant>,
+    /// Share of orders to backend servers that are carried out seconds later.
+    pub late_orders: f64,
+    /// Share of answers of backend servers that are lost.
+    pub lost_answers: f64,
+    pub faults: Vec<(u64, Fault)>,
+    pub jobs: Vec<(u64, Job)>,
+    pub end: u64,
+}
+
+/// A job of a caller.
+#[derive(Debug, Clone, Copy)]
+pub struct Job {
+    pub id: u64,
+    pub queue: usize,
+    pub tasks: u32,
+    pub cpu: u32,
+    pub work: u64,
+    pub declared: u64,
+    pub budget: u64,
+    /// Whether it fails wherever it runs.
+    pub fails: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    KillEntry(usize, u64),
+    KillAgent(usize, u64),
+    PauseEntry(usize, u64),
+    PauseAgent(usize, u64),
+    /// Entry, agent, how long, which directions.
+    Cut(usize, usize, u64, bool, bool),
+    Reset(usize, usize),
+    Reborn(usize),
+    /// Slows a backend server down by a factor for a time.
+    Slow(usize, u64, u64),
+    Drain(usize),
+}
+
+/// Jobs of one queue.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Tally {
+    pub asked: u64,
+    /// Served within the objective.
+    pub in_time: u64,
+    /// Served within three objectives.
+    pub late: u64,
+}
+
+/// What callers saw, and what was broken.
+#[derive(Debug, Default, Clone)]
+pub struct Seen {
+    pub starts: u64,
+    pub completed: u64,
+    pub refused: u64,
+    pub expired: u64,
+    pub failed: u64,
+    pub resubmitted: u64,
+    /// By queue.
+    pub(super) tallies: BTreeMap<usize, Tally>,
+    /// Times until refusals.
+    pub refused_after: Vec<u64>,
+    pub violations: Vec<String>,
+}
+
+impl Seen {
+    /// Returns the jobs of a queue.
+    pub fn tally(&self, queue: usize) -> Tally {
+        self.tallies.get(&queue).copied().unwrap_or_default()
+    }
+}
+
+/// Returns the ids in use once, so that a fixture cannot give one to two jobs.
+pub fn distinct(jobs: &[(u64, Job)]) -> bool {
+    let mut seen = HashSet::new();
+    jobs.iter().all(|(_at, job)| seen.insert(job.id))
+}
--- a/crates/core/tests/spool_random.rs
+++ b/crates/core/tests/spool_random.rs
@@ -12,7 +12,8 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use world::{Fault, Job, MS, Mutant, Plan, Seen, World, distinct};
+use world::plan::distinct;
+use world::{Fault, Job, MS, Mutant, Plan, Seen, World};
 
 /// Seeds of a run without `IBISSPOOL_SEEDS`.
 const SEEDS: u64 = 1_500;
