--- a/crates/standin/src/children.rs
+++ b/crates/standin/src/children.rs
@@ -2,7 +2,9 @@
 //! again. Linux only, as it reads `/proc`.
 
 use std::ffi::OsString;
+use std::fs::OpenOptions;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 
 use anyhow::{Context, Result};
@@ -54,12 +56,13 @@
     /// Fails if this program cannot be run again.
     pub fn start(args: &[&str]) -> Result<Self> {
         let program = std::env::current_exe().context("this program has no path")?;
+        let (level, output) = logs_of(args)?;
         let child = Command::new(program)
             .arg(AS_BINARY)
             .args(args)
-            .env("IBISSPOOL_LOG_LEVEL", "error")
+            .env("IBISSPOOL_LOG_LEVEL", level)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(output)
             .spawn()
             .context("cannot run this program again")?;
         Ok(Self { child })
@@ -111,6 +114,25 @@
     }
 }
 
+/// Returns the level and the place of a process's log lines. With the variable `IBISSPOOL_LOGS` they
+/// go to a file in that folder, named after the process; else only errors are written.
+fn logs_of(args: &[&str]) -> Result<(&'static str, Stdio)> {
+    let Some(folder) = std::env::var_os("IBISSPOOL_LOGS") else {
+        return Ok(("error", Stdio::null()));
+    };
+    let name = args
+        .iter()
+        .skip_while(|arg| **arg != "--name")
+        .nth(1)
+        .context("a process without a name has no log")?;
+    let file = OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(Path::new(&folder).join(name))
+        .context("cannot open a log file")?;
+    Ok(("info", Stdio::from(file)))
+}
+
 /// Returns a loopback address that is free now.
 ///
 /// # Errors
