--- a/crates/core/src/spool/entry/jobs.rs
+++ b/crates/core/src/spool/entry/jobs.rs
@@ -308,11 +308,11 @@
                 Place::Waiting(rank) => {
                     self.waiting.remove(&(rank, task_key));
                 }
-                Place::Sent { link, ticket } => {
-                    self.sent.remove(&ticket);
+                // The end that this answer is about has taken its own ticket already.
+                Place::Sent { link, ticket } if self.sent.remove(&ticket).is_some() => {
                     cancels.push((link, ticket));
                 }
-                Place::Blocked | Place::Orphan { .. } | Place::Done => {}
+                Place::Sent { .. } | Place::Blocked | Place::Orphan { .. } | Place::Done => {}
             }
         }
         cancels.sort_unstable();
--- a/crates/core/tests/spool_entry.rs
+++ b/crates/core/tests/spool_entry.rs
@@ -212,6 +212,25 @@
     assert_eq!(answers(&mut entry), [(key, Answer::Failed)]);
 }
 
+#[test]
+fn the_last_failure_cancels_only_the_tasks_that_still_run() {
+    let mut entry = entry();
+    agent(&mut entry, "agent-1", 10, at(0));
+    let mut one_attempt = queue();
+    one_attempt.attempts = 1;
+    entry.submit(request(vec![step(2, smallvec![])]), one_attempt, at(1));
+    let sent = starts(&mut entry);
+
+    let failed = vec![outcome(&sent[0].1, End::Failed)];
+    entry.report(sent[0].0, report(10, failed, at(10)), at(10));
+
+    let cancels: Vec<_> = orders(&mut entry)
+        .into_iter()
+        .flat_map(|(_link, order)| order.cancels)
+        .collect();
+    assert_eq!(cancels, [sent[1].1.ticket]);
+}
+
 #[test]
 fn a_job_without_room_in_time_is_refused_at_once() {
     let mut entry = entry();
