fix(agent): a start that could not be sent says nothing about the other runs

Cause, found by reading: a connection that could not be made in time counted like one that nobody listens for, so every run of the server was declared gone and sent elsewhere while it might go on. Only a refused connection shows that no process is there; the lease bounds the rest.

--- a/crates/core/src/spool/agent/backend.rs
+++ b/crates/core/src/spool/agent/backend.rs
@@ -98,8 +98,10 @@
     Fenced,
     /// It does not run and will not.
     Refused,
-    /// Nobody listens at the server's address.
-    Unreachable,
+    /// Nobody listens at the server's address: no process is there that could run anything.
+    Absent,
+    /// No connection could be made. The start was not sent; other runs may go on.
+    NotSent,
     /// No answer came; it may run, or start later.
     Silent,
 }
@@ -477,7 +479,8 @@
             }
             StartAnswer::Fenced => self.raise_token(),
             StartAnswer::Refused => {}
-            StartAnswer::Unreachable => self.fail_contact(true, now),
+            StartAnswer::Absent => self.fail_contact(true, now),
+            StartAnswer::NotSent => self.fail_contact(false, now),
             StartAnswer::Silent => {
                 if run.phase == Phase::Starting {
                     self.enter(key, Phase::Unsure, now.mono);
--- a/crates/core/tests/spool_agent.rs
+++ b/crates/core/tests/spool_agent.rs
@@ -217,6 +217,43 @@
     assert_eq!(stops(&mut agent), 0);
 }
 
+#[test]
+fn a_start_that_could_not_be_sent_leaves_the_other_runs_alone() {
+    let (mut agent, link) = agent();
+    agent.order(
+        link,
+        order(at(1), 1, vec![start(1, 500), start(2, 500)]),
+        at(2),
+    );
+    let sent = started(&mut agent);
+    agent.start_answer(sent[0].0, StartAnswer::Started, at(3));
+
+    agent.start_answer(sent[1].0, StartAnswer::NotSent, at(400));
+
+    let told = outcomes(&mut agent);
+    let expected = End::NotStarted(Declined::Unreachable);
+    assert_eq!(
+        told.iter().map(|told| told.end).collect::<Vec<_>>(),
+        [expected]
+    );
+}
+
+#[test]
+fn a_server_that_is_gone_runs_nothing() {
+    let (mut agent, link) = agent();
+    agent.order(
+        link,
+        order(at(1), 1, vec![start(1, 500), start(2, 500)]),
+        at(2),
+    );
+    let sent = started(&mut agent);
+    agent.start_answer(sent[0].0, StartAnswer::Started, at(3));
+
+    agent.start_answer(sent[1].0, StartAnswer::Absent, at(4));
+
+    assert_eq!(outcomes(&mut agent).len(), 2);
+}
+
 #[test]
 fn another_incarnation_runs_nothing_and_fences_off_old_orders() {
     let (mut agent, link) = agent();
