refactor(spool): one course of a process, one dialler, one way through the hub

Both programs had the same start, the same loop that dials entries, and hubs that carried out actions in three places; the closer handed out its half through an Option; the queued runs were listed in two places; the flag that only checks settings stood four times. Each is one piece now.

--- a/crates/agent/src/cli.rs
+++ b/crates/agent/src/cli.rs
@@ -2,7 +2,7 @@
 
 use std::ffi::OsString;
 
-use clap::{Arg, ArgAction, ArgMatches, Command};
+use clap::{ArgMatches, Command};
 use ibisspool_kernel::run;
 
 use crate::serve;
@@ -13,21 +13,11 @@
 pub fn command() -> Command {
     let spool = Command::new("spool")
         .about("Run tasks of jobs that need not be kept, on one thread")
-        .arg(
-            Arg::new("check")
-                .long("check")
-                .action(ArgAction::SetTrue)
-                .help("Check the settings and exit"),
-        );
+        .arg(run::check_flag());
     let command = Command::new("ibisspool-agent")
         .about("The only starter of tasks on its backend server")
         .version(env!("CARGO_PKG_VERSION"))
-        .arg(
-            Arg::new("check")
-                .long("check")
-                .action(ArgAction::SetTrue)
-                .help("Check the settings and exit"),
-        );
+        .arg(run::check_flag());
     Settings::add_flags(command)
         .subcommand_negates_reqs(true)
         .subcommand(spool::Settings::add_flags(spool))
--- a/crates/agent/src/spool.rs
+++ b/crates/agent/src/spool.rs
@@ -27,16 +27,10 @@
 /// # Errors
 /// Fails if it cannot start.
 pub fn run(settings: &Settings) -> Result<()> {
-    let logs = Batch::start(&settings.common.log_level);
-    let served = common::block_on(serve(settings.clone(), logs.clone()));
-    if let Err(error) = &served {
-        log::error!("serve: {error:#}.");
-    }
-    logs.finish();
-    served
+    common::run(&settings.common, |logs| serve(settings, logs))
 }
 
-async fn serve(settings: Settings, logs: Batch) -> Result<()> {
+async fn serve(settings: &Settings, logs: Batch) -> Result<()> {
     let common = &settings.common;
     log::info!(
         "serve: Agent starts. name={} data_centre={} server={}",
@@ -44,14 +38,12 @@
         common.data_centre,
         settings.server
     );
-    common::warn_of(&common.safety);
-    let hub = Hub::new(&settings);
+    let hub = Hub::new(settings);
     let announcements = TcpListener::bind(settings.listen)
         .await
         .with_context(|| format!("cannot listen on {}; is it in use?", settings.listen))?;
 
-    spawn_local(common::flush_logs(logs));
-    spawn_local(common::serve_metrics(common.metrics, hub.metrics()));
+    common::spawn_all(common, logs, hub.metrics());
     spawn_local(server::serve(announcements, Rc::clone(&hub)));
     spawn_local(server::hold(Rc::clone(&hub)));
     spawn_local(server::hold_beside(Rc::clone(&hub)));
--- a/crates/agent/src/spool/hub.rs
+++ b/crates/agent/src/spool/hub.rs
@@ -211,16 +211,12 @@
 
     /// Notes a connection to an entry.
     pub fn connect(self: &Rc<Self>, entry: &str, sender: Sender) -> LinkKey {
-        let (link, actions) = {
-            let mut agent = self.agent.borrow_mut();
-            let link = agent.connect(entry, self.clock.now());
+        self.decide(|agent, now| {
+            let link = agent.connect(entry, now);
+            // The first report is among the actions that follow.
             self.links.borrow_mut().insert(link, sender);
-            (link, agent.take_actions())
-        };
-        for action in actions {
-            self.carry_out(action);
-        }
-        link
+            link
+        })
     }
 
     /// Notes the end of a connection to an entry.
--- a/crates/agent/src/spool/links.rs
+++ b/crates/agent/src/spool/links.rs
@@ -1,6 +1,5 @@
 //! Connections to the entries.
 
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,6 +7,7 @@
 use anyhow::{Context, Result};
 use ibisspool_core::spool::message::{Caller, Hello, Order, VERSION};
 use ibisspool_kernel::channel;
+use ibisspool_kernel::spool as common;
 use ibisspool_platform::store::Store;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
@@ -33,21 +33,9 @@
 /// Keeps a connection to each entry that is known.
 pub async fn dial_members(hub: Rc<Hub>, seeds: Vec<SocketAddr>, store: SocketAddr) {
     spawn_local(ask_store(Rc::clone(&hub), store));
-    let mut dialled: HashSet<SocketAddr> = HashSet::new();
-    let mut wanted = seeds;
-    loop {
-        for address in wanted {
-            if dialled.insert(address) {
-                spawn_local(dial(Rc::clone(&hub), address));
-            }
-        }
-        let grew = hub.members_grew.notified();
-        wanted = addresses(&hub);
-        if wanted.iter().all(|address| dialled.contains(address)) {
-            grew.await;
-            wanted = addresses(&hub);
-        }
-    }
+    let known = || addresses(&hub);
+    let dial = |address| dial(Rc::clone(&hub), address);
+    common::dial_all(seeds, &hub.members_grew, known, dial).await;
 }
 
 fn addresses(hub: &Hub) -> Vec<SocketAddr> {
--- a/crates/core/src/spool/agent/order.rs
+++ b/crates/core/src/spool/agent/order.rs
@@ -2,8 +2,8 @@
 
 use super::super::message::{Declined, End, Order, Start, Ticket};
 use super::super::note::Note;
-use super::{Agent, LinkKey, Phase, Run, RunKey};
-use crate::time::Now;
+use super::{Agent, LinkKey, Phase, Run};
+use crate::time::{Mono, Now};
 
 impl Agent {
     /// Handles an order. One whose echo is too old starts nothing and renews nothing.
@@ -40,7 +40,7 @@
         };
         known.seen = order.sequence;
         if let Some(echo) = order.echo {
-            let until = crate::time::Mono(echo.0).plus(silence);
+            let until = Mono(echo.0).plus(silence);
             if until > now.mono {
                 known.permit_until = known.permit_until.max(until);
             }
@@ -72,9 +72,9 @@
         let stale = known.permit_until <= now.mono;
         let entry = known.entry.clone();
         let latest_start = if start.slack_us < 0 {
-            crate::time::Mono(now.mono.0.saturating_sub(start.slack_us.unsigned_abs()))
+            Mono(now.mono.0.saturating_sub(start.slack_us.unsigned_abs()))
         } else {
-            crate::time::Mono(now.mono.0.saturating_add(start.slack_us.unsigned_abs()))
+            Mono(now.mono.0.saturating_add(start.slack_us.unsigned_abs()))
         };
         let closed = !self.takes(&start);
         let key = self.runs.insert(Run {
@@ -122,13 +122,7 @@
         if self.is_open() {
             return;
         }
-        let queued: Vec<RunKey> = self
-            .runs
-            .iter()
-            .filter(|(_key, run)| run.phase == Phase::Queued)
-            .map(|(key, _run)| key)
-            .collect();
-        for key in queued {
+        for key in self.queued() {
             self.finish(key, End::NotStarted(Declined::Closed), now);
         }
         self.report_all(now.mono);
--- a/crates/core/src/spool/agent/queue.rs
+++ b/crates/core/src/spool/agent/queue.rs
@@ -21,15 +21,10 @@
 impl Agent {
     /// Starts what has room, most urgent first, and hands back what waited too long.
     pub(super) fn start_queued(&mut self, now: Now) {
-        if self.runs.values().all(|run| run.phase != Phase::Queued) {
+        let mut queued = self.queued();
+        if queued.is_empty() {
             return;
         }
-        let mut queued: Vec<RunKey> = self
-            .runs
-            .iter()
-            .filter(|(_key, run)| run.phase == Phase::Queued)
-            .map(|(key, _run)| key)
-            .collect();
         queued.sort_by_key(|&key| urgency(&self.runs[key], now.mono));
         let may_start = self.may_start(now.mono);
         for key in queued {
@@ -42,6 +37,15 @@
         }
     }
 
+    /// Returns the runs that wait for room.
+    pub(super) fn queued(&self) -> Vec<RunKey> {
+        self.runs
+            .iter()
+            .filter(|(_key, run)| run.phase == Phase::Queued)
+            .map(|(key, _run)| key)
+            .collect()
+    }
+
     fn has_room(&self, run: &Run, now: Mono) -> bool {
         let started = self.started_runs();
         self.free().fits(&run.start.needs) && self.health.open(started, now) > 0
--- a/crates/core/src/spool/entry/agents.rs
+++ b/crates/core/src/spool/entry/agents.rs
@@ -154,11 +154,6 @@
             agent.pending.pop_front();
         }
         let (number, pace) = (agent.number, report.load.pace);
-        let paces = self.agents.values().map(|agent| agent.load.pace);
-        self.usual_pace = usual_pace(paces);
-        let Some(agent) = self.agents.get_mut(link) else {
-            return;
-        };
         if let Some(server) = report.server {
             let note = Note::new("A backend server's state changed.")
                 .with("agent", &agent.name)
@@ -168,6 +163,8 @@
             agent.server = Some(server);
             self.note(note);
         }
+        let paces = self.agents.values().map(|agent| agent.load.pace);
+        self.usual_pace = usual_pace(paces);
         if report.cleared {
             self.release_orphans(now, |agent, _until| agent == number);
         }
--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -7,7 +7,7 @@
 
 use std::ffi::OsString;
 
-use clap::{Arg, ArgAction, ArgMatches, Command};
+use clap::{ArgMatches, Command};
 use ibisspool_kernel::run;
 
 use crate::serve;
@@ -18,20 +18,10 @@
 pub fn command() -> Command {
     let serve = Command::new("serve")
         .about("Take callers' work and coordinate jobs")
-        .arg(
-            Arg::new("check")
-                .long("check")
-                .action(ArgAction::SetTrue)
-                .help("Check the settings and exit"),
-        );
+        .arg(run::check_flag());
     let spool = Command::new("spool")
         .about("Take jobs that need not be kept and dispatch their tasks, on one thread")
-        .arg(
-            Arg::new("check")
-                .long("check")
-                .action(ArgAction::SetTrue)
-                .help("Check the settings and exit"),
-        );
+        .arg(run::check_flag());
     let command = Command::new("ibisspool")
         .about("Dispatcher for sub-second tasks")
         .version(env!("CARGO_PKG_VERSION"))
--- a/crates/entry/src/spool.rs
+++ b/crates/entry/src/spool.rs
@@ -13,7 +13,7 @@
 use anyhow::{Context, Result};
 use ibisspool_kernel::log::Batch;
 use ibisspool_kernel::spool::{self as common, Signals};
-use ibisspool_kernel::web::Closer;
+use ibisspool_kernel::web::{self, Closer};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
@@ -35,16 +35,10 @@
 /// # Errors
 /// Fails if it cannot start.
 pub fn run(settings: &Settings) -> Result<()> {
-    let logs = Batch::start(&settings.common.log_level);
-    let served = common::block_on(serve(settings.clone(), logs.clone()));
-    if let Err(error) = &served {
-        log::error!("serve: {error:#}.");
-    }
-    logs.finish();
-    served
+    common::run(&settings.common, |logs| serve(settings, logs))
 }
 
-async fn serve(settings: Settings, logs: Batch) -> Result<()> {
+async fn serve(settings: &Settings, logs: Batch) -> Result<()> {
     let common = &settings.common;
     log::info!(
         "serve: Entry starts. name={} data_centre={} listen={} peers={}",
@@ -53,18 +47,14 @@
         settings.listen,
         settings.peer_listen
     );
-    common::warn_of(&common.safety);
-    let hub = Hub::new(&settings);
+    let hub = Hub::new(settings);
     let callers = bind(settings.listen, "callers").await?;
     let ready = bind(settings.ready_listen, "readiness").await?;
     let peers = bind(settings.peer_listen, "agents and entries").await?;
 
-    spawn_local(common::flush_logs(logs));
-    spawn_local(common::serve_metrics(common.metrics, hub.metrics()));
-    let mut closer = Closer::new();
-    if let Some(closing) = closer.take() {
-        spawn_local(callers::serve(callers, Rc::clone(&hub), closing));
-    }
+    common::spawn_all(common, logs, hub.metrics());
+    let (mut closer, closing) = web::closer();
+    spawn_local(callers::serve(callers, Rc::clone(&hub), closing));
     spawn_local(callers::serve_readiness(ready, Rc::clone(&hub)));
     spawn_local(links::serve(peers, Rc::clone(&hub)));
     spawn_local(links::dial_members(
--- a/crates/entry/src/spool/hub.rs
+++ b/crates/entry/src/spool/hub.rs
@@ -102,13 +102,12 @@
     /// Submits a job; its answer comes through the receiver.
     pub fn submit(&self, request: Request, queue: Queue) -> (JobKey, oneshot::Receiver<Answer>) {
         let (waiter, answer) = oneshot::channel();
-        let (key, actions) = {
-            let mut entry = self.entry.borrow_mut();
-            let key = entry.submit(request, queue, self.clock.now());
+        let key = self.decide(|entry, now| {
+            let key = entry.submit(request, queue, now);
+            // The answer may be among the actions that follow.
             self.waiters.borrow_mut().insert(key, waiter);
-            (key, entry.take_actions())
-        };
-        self.carry_out(actions);
+            key
+        });
         (key, answer)
     }
 
@@ -126,14 +125,11 @@
 
     /// Notes a connection of an agent.
     pub fn connect(&self, hello: AgentHello, sender: Sender) -> LinkKey {
-        let (link, actions) = {
-            let mut entry = self.entry.borrow_mut();
-            let link = entry.connect(hello, self.clock.now());
+        self.decide(|entry, now| {
+            let link = entry.connect(hello, now);
             self.links.borrow_mut().insert(link, sender);
-            (link, entry.take_actions())
-        };
-        self.carry_out(actions);
-        link
+            link
+        })
     }
 
     /// Notes the end of an agent's connection.
--- a/crates/entry/src/spool/links.rs
+++ b/crates/entry/src/spool/links.rs
@@ -1,6 +1,5 @@
 //! Connections of agents, and to and from other entries.
 
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,6 +7,7 @@
 use anyhow::{Context, Result, bail};
 use ibisspool_core::spool::message::{AgentHello, Caller, Gossip, Hello, Report, VERSION};
 use ibisspool_kernel::channel::{self, Receiver, Sender};
+use ibisspool_kernel::spool as common;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
@@ -100,22 +100,17 @@
 }
 
 /// Keeps a connection to each other entry that is known.
-pub async fn dial_members(hub: Rc<Hub>, seeds: Vec<SocketAddr>) {
-    let mut dialled: HashSet<SocketAddr> = HashSet::from([hub.me().address]);
-    let mut wanted = seeds;
-    loop {
-        for address in wanted {
-            if dialled.insert(address) {
-                spawn_local(dial(Rc::clone(&hub), address));
-            }
-        }
-        let grew = hub.members_grew.notified();
-        wanted = hub.look(|entry| entry.members().iter().map(|m| m.address).collect());
-        if wanted.iter().all(|address| dialled.contains(address)) {
-            grew.await;
-            wanted = hub.look(|entry| entry.members().iter().map(|m| m.address).collect());
-        }
-    }
+pub async fn dial_members(hub: Rc<Hub>, mut seeds: Vec<SocketAddr>) {
+    let me = hub.me().address;
+    seeds.retain(|seed| *seed != me);
+    let known = || {
+        hub.look(|entry| {
+            let addresses = entry.members().iter().map(|member| member.address);
+            addresses.filter(|address| *address != me).collect()
+        })
+    };
+    let dial = |address| dial(Rc::clone(&hub), address);
+    common::dial_all(seeds, &hub.members_grew, known, dial).await;
 }
 
 async fn dial(hub: Rc<Hub>, address: SocketAddr) {
--- a/crates/kernel/src/run.rs
+++ b/crates/kernel/src/run.rs
@@ -1,6 +1,7 @@
 //! The course of a process from its checked settings to its exit code.
 
 use anyhow::Result;
+use clap::{Arg, ArgAction};
 
 use crate::log::{self as logs, Format};
 use crate::settings::{Error, INVALID};
@@ -8,6 +9,14 @@
 /// Exit code for a process that could not start or go on.
 const FAILED: i32 = 1;
 
+/// Returns the flag that only checks the settings.
+pub fn check_flag() -> Arg {
+    Arg::new("check")
+        .long("check")
+        .action(ArgAction::SetTrue)
+        .help("Check the settings and exit")
+}
+
 /// For a process that starts its logs itself.
 pub fn own_logs<S>(_settings: &S) -> Option<(Format, &str)> {
     None
--- a/crates/kernel/src/spool.rs
+++ b/crates/kernel/src/spool.rs
@@ -1,5 +1,6 @@
 //! What the spool's processes share: settings, the thread that runs them, log lines, signals.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -9,7 +10,8 @@
 use ibisspool_core::spool::safety::Safety;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::task::LocalSet;
+use tokio::sync::Notify;
+use tokio::task::{LocalSet, spawn_local};
 
 use crate::log::Batch;
 use crate::metrics::Metrics;
@@ -17,7 +19,7 @@
 use crate::web::{self, Limits, Reply};
 
 /// Time between two batches of log lines.
-pub const LOG_PAUSE: Duration = Duration::from_millis(100);
+const LOG_PAUSE: Duration = Duration::from_millis(100);
 
 /// Bounds on requests to the process's own addresses.
 pub const OWN_LIMITS: Limits = Limits {
@@ -164,6 +166,57 @@
     LocalSet::new().block_on(&runtime, process)
 }
 
+/// Runs a process with its logs on standard output until its future ends.
+///
+/// # Errors
+/// Fails if the process cannot start.
+pub fn run<P, F>(settings: &Settings, process: P) -> Result<()>
+where
+    P: FnOnce(Batch) -> F,
+    F: Future<Output = Result<()>>,
+{
+    let logs = Batch::start(&settings.log_level);
+    let served = block_on(process(logs.clone()));
+    if let Err(error) = &served {
+        log::error!("serve: {error:#}.");
+    }
+    logs.finish();
+    served
+}
+
+/// Starts what each process does beside its work: it says whether its safety bounds hold, writes its
+/// logs and serves its metrics.
+pub fn spawn_all(settings: &Settings, logs: Batch, metrics: Metrics) {
+    warn_of(&settings.safety);
+    spawn_local(flush_logs(logs));
+    spawn_local(serve_metrics(settings.metrics, metrics));
+}
+
+/// Keeps a connection to each address: `known` returns those known now, `grew` is rung when there
+/// are more, and `dial` runs once for each and connects again by itself.
+pub async fn dial_all<K, D, F>(seeds: Vec<SocketAddr>, grew: &Notify, known: K, dial: D)
+where
+    K: Fn() -> Vec<SocketAddr>,
+    D: Fn(SocketAddr) -> F,
+    F: Future<Output = ()> + 'static,
+{
+    let mut dialled: HashSet<SocketAddr> = HashSet::new();
+    let mut wanted = seeds;
+    loop {
+        for address in wanted {
+            if dialled.insert(address) {
+                spawn_local(dial(address));
+            }
+        }
+        let growing = grew.notified();
+        wanted = known();
+        if wanted.iter().all(|address| dialled.contains(address)) {
+            growing.await;
+            wanted = known();
+        }
+    }
+}
+
 /// Writes a log line of a decision.
 pub fn write(prefix: &str, note: &Note) {
     let level = match note.level {
@@ -174,7 +227,7 @@
 }
 
 /// Warns if the safety bounds cannot be met.
-pub fn warn_of(safety: &Safety) {
+fn warn_of(safety: &Safety) {
     match safety.check() {
         Ok(()) => log::info!(
             "serve: Safety bounds hold. silence_ms={} stop_patience_ms={} lease_ms={} resubmit_ms={}",
@@ -188,7 +241,7 @@
 }
 
 /// Writes the gathered log lines now and then.
-pub async fn flush_logs(logs: Batch) {
+async fn flush_logs(logs: Batch) {
     loop {
         tokio::time::sleep(LOG_PAUSE).await;
         logs.flush();
@@ -196,7 +249,7 @@
 }
 
 /// Serves the metrics. A process without them still does its work.
-pub async fn serve_metrics(address: SocketAddr, metrics: Metrics) {
+async fn serve_metrics(address: SocketAddr, metrics: Metrics) {
     match tokio::net::TcpListener::bind(address).await {
         Ok(listener) => {
             let answer = move |_call| {
--- a/crates/kernel/src/web/server.rs
+++ b/crates/kernel/src/web/server.rs
@@ -129,24 +129,10 @@
 #[derive(Debug)]
 pub struct Closer {
     ask: watch::Sender<bool>,
-    closing: Option<Closing>,
     open: mpsc::Receiver<Infallible>,
 }
 
 impl Closer {
-    /// Makes a closer for one server.
-    pub fn new() -> Self {
-        let (ask, asked) = watch::channel(false);
-        let (held, open) = mpsc::channel(1);
-        let closing = Some(Closing { asked, _open: held });
-        Self { ask, closing, open }
-    }
-
-    /// Returns what the server needs; `None` at the second call.
-    pub fn take(&mut self) -> Option<Closing> {
-        self.closing.take()
-    }
-
     /// Takes no more connections, closes those without a request, the others after their answer,
     /// and waits until all are closed.
     pub async fn close(&mut self) {
@@ -156,10 +142,12 @@
     }
 }
 
-impl Default for Closer {
-    fn default() -> Self {
-        Self::new()
-    }
+/// Makes a closer, and what the server that it closes needs.
+pub fn closer() -> (Closer, Closing) {
+    let (ask, asked) = watch::channel(false);
+    let (held, open) = mpsc::channel(1);
+    let closing = Closing { asked, _open: held };
+    (Closer { ask, open }, closing)
 }
 
 impl Closing {
@@ -179,10 +167,8 @@
     H: Fn(Call) -> F + 'static,
     F: Future<Output = Reply> + 'static,
 {
-    let mut closer = Closer::new();
-    if let Some(closing) = closer.take() {
-        serve_until(listener, limits, handle, closing).await;
-    }
+    let (_closer, closing) = closer();
+    serve_until(listener, limits, handle, closing).await;
 }
 
 /// Does as [`serve`] until the connections are to close.
