fix(entry): a caller that left during a pause has nothing started

Cause: a request that waited in the socket while the entry was paused was taken although the end of its connection was there too. The yield before the first start ended within the same poll of the connection, which polls its handler several times in a row, so nothing was looked at in between.

Change: the handler waits for a task of its own that yields, which takes one look at all connections.

--- a/crates/entry/src/spool/callers.rs
+++ b/crates/entry/src/spool/callers.rs
@@ -49,9 +49,8 @@
 
 /// Runs a job. If the caller ends its connection, this future is dropped and the job with it.
 async fn submit(hub: &Rc<Hub>, request: Request, queue: Queue) -> Reply {
-    // A request that was held up may be followed by the end of its connection: let the server
-    // look for that before anything starts.
-    tokio::task::yield_now().await;
+    // A request that was held up may be followed by the end of its connection.
+    web::next_look().await;
     let began = Instant::now();
     let (key, answer) = hub.submit(request, queue);
     let mut guard = Guard {
--- a/crates/kernel/src/web.rs
+++ b/crates/kernel/src/web.rs
@@ -8,4 +8,4 @@
 mod server;
 
 pub use client::{Client, Error, Response};
-pub use server::{Call, Closer, Closing, Limits, Reply, closer, serve, serve_until};
+pub use server::{Call, Closer, Closing, Limits, Reply, closer, next_look, serve, serve_until};
--- a/crates/kernel/src/web/server.rs
+++ b/crates/kernel/src/web/server.rs
@@ -236,6 +236,17 @@
     }
 }
 
+/// Waits until the event loop has looked at all connections once more, so that a handler learns
+/// whether its caller has left already: its future is dropped then.
+///
+/// A yield alone does not do: a connection polls its handler several times in a row, and the second
+/// poll ends the yield before the loop has looked at anything.
+pub async fn next_look() {
+    if let Err(error) = spawn_local(tokio::task::yield_now()).await {
+        log::error!("http: A yield failed. error={error}");
+    }
+}
+
 async fn read(request: http::Request<Incoming>, limits: Limits) -> Result<Call, StatusCode> {
     let (head, body) = request.into_parts();
     let head_bytes: usize = head
