fix(entry): a job that no server can end in useful time is answered at once

Change: a job with a waiting task that cannot end within three objectives on the fastest server is answered then: refused if nothing of it has run, else as expired. A job whose tasks all run is still answered when they end.

The test fails without the change.

--- a/crates/core/src/spool/entry/jobs.rs
+++ b/crates/core/src/spool/entry/jobs.rs
@@ -215,13 +215,43 @@
             .map(|(key, _job)| key)
             .collect();
         for key in over {
-            if self.is_untouched(key) {
-                self.refuse(key, Refusal::WaitedTooLong, SOON, now.mono);
-            } else {
-                self.answer(key, Answer::Expired, now.mono);
-            }
+            self.give_up(key, now.mono);
         }
         self.refuse_late(now.mono);
+        self.give_up_hopeless(now.mono);
+    }
+
+    /// Answers a job that will not be completed.
+    fn give_up(&mut self, key: JobKey, now: Mono) {
+        if self.is_untouched(key) {
+            self.refuse(key, Refusal::WaitedTooLong, SOON, now);
+        } else {
+            self.answer(key, Answer::Expired, now);
+        }
+    }
+
+    /// Gives up the jobs with a task that waits and cannot end in useful time on any server.
+    fn give_up_hopeless(&mut self, now: Mono) {
+        let paces = self.agents.values().map(|agent| f64::from(agent.load.pace));
+        let fastest = paces.fold(self.usual_pace, f64::min);
+        let hopeless: Vec<JobKey> = self
+            .waiting
+            .iter()
+            .filter(|(rank, _key)| rank.late)
+            .map(|(_rank, key)| &self.tasks[*key])
+            .filter(|task| {
+                let job = &self.jobs[task.job];
+                let step = &job.request.steps[usize::from(task.step)];
+                let end = now.plus(self.run_time(job, step).mul_f64(fastest));
+                end > self.useful_until(job)
+            })
+            .map(|task| task.job)
+            .collect();
+        for key in hopeless {
+            if self.jobs.contains_key(key) {
+                self.give_up(key, now);
+            }
+        }
     }
 
     /// Turns away the jobs that have missed their latest start before anything of them was sent:
--- a/crates/core/tests/spool_entry.rs
+++ b/crates/core/tests/spool_entry.rs
@@ -355,3 +355,46 @@
     assert_eq!(at_once, []);
     assert_eq!(later.len(), 1);
 }
+
+#[test]
+fn a_job_that_no_server_can_end_in_time_is_answered_at_once() {
+    let mut entry = entry();
+    let link = agent(&mut entry, "agent-1", 10, at(0));
+    let patient = Request {
+        budget: Duration::from_secs(10),
+        ..request(vec![step(1, smallvec![])])
+    };
+    let key = entry.submit(patient, queue(), at(1));
+    let sent = starts(&mut entry);
+    let lost = vec![outcome(&sent[0].1, End::Lost)];
+    let mut full = report(0, lost, at(100));
+    full.load.queued = 50_000;
+    entry.report(link, full, at(100));
+
+    // Three objectives of 156 ms after its arrival nothing that still ends is of use.
+    for now in (120..600).step_by(20) {
+        entry.tick(at(now));
+    }
+
+    assert_eq!(answers(&mut entry), [(key, Answer::Expired)]);
+}
+
+#[test]
+fn a_job_that_runs_is_answered_when_it_ends_however_late() {
+    let mut entry = entry();
+    let link = agent(&mut entry, "agent-1", 10, at(0));
+    let patient = Request {
+        budget: Duration::from_secs(10),
+        ..request(vec![step(1, smallvec![])])
+    };
+    let key = entry.submit(patient, queue(), at(1));
+    let sent = starts(&mut entry);
+
+    for now in (20..3_000).step_by(20) {
+        entry.tick(at(now));
+    }
+    let done = vec![outcome(&sent[0].1, End::Done)];
+    entry.report(link, report(10, done, at(3_000)), at(3_000));
+
+    assert_eq!(answers(&mut entry), [(key, Answer::Completed)]);
+}
