fix(entry): serve sooner after everything has started again

Cause: after a loss of power agents dialled entries whose VMs were still off. Ruled out: the store (catalogue in force 10 ms after a start) and the announcements (known at the agents 0.1 s before the first connection).

Change: a connection is given up after 120 ms and tried again after an eighth of the time since it was lost, 20 to 400 ms, in one place for agents and entries. An entry in its first 0.5 s lets jobs wait for its agents; later, one without servers refuses at once with Retry-After: 1. Readiness needs a known server. A refusal for lack of room logs the load that decided it.

--- a/crates/agent/src/spool/links.rs
+++ b/crates/agent/src/spool/links.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use anyhow::{Context, Result};
+use anyhow::Error;
 use ibisspool_core::spool::message::{Caller, Hello, Order, VERSION};
 use ibisspool_kernel::channel;
 use ibisspool_kernel::spool as common;
@@ -18,12 +18,6 @@
 /// An entry without a message for this long is given up: it answers each third report.
 const SILENCE: Duration = Duration::from_millis(1_200);
 
-/// Time for a connection.
-const CONNECT: Duration = Duration::from_millis(400);
-
-/// Pause before another try to connect.
-const AGAIN: Duration = Duration::from_millis(200);
-
 /// Time after which an agent that knows few entries asks the store for them.
 const ASK_STORE: Duration = Duration::from_secs(1);
 
@@ -66,19 +60,24 @@
 }
 
 async fn dial(hub: Rc<Hub>, address: SocketAddr) {
-    loop {
-        if let Err(error) = attend(&hub, address).await {
-            log::debug!("links: A connection ended. address={address} error={error:#}");
+    common::keep_connected(|| async {
+        match common::connect(address).await {
+            Ok(stream) => {
+                let error = attend(&hub, address, stream).await;
+                log::debug!("links: A connection ended. address={address} error={error:#}");
+                true
+            }
+            Err(error) => {
+                log::debug!("links: No connection. address={address} error={error:#}");
+                false
+            }
         }
-        tokio::time::sleep(AGAIN).await;
-    }
+    })
+    .await;
 }
 
-/// Connects to an entry and handles its orders until the connection ends.
-async fn attend(hub: &Rc<Hub>, address: SocketAddr) -> Result<()> {
-    let stream = timeout(CONNECT, TcpStream::connect(address))
-        .await
-        .context("no connection in time")??;
+/// Handles the orders of an entry until the connection ends; returns why it did.
+async fn attend(hub: &Rc<Hub>, address: SocketAddr, stream: TcpStream) -> Error {
     let (sender, mut receiver) = channel::open(stream);
     sender.send(&Hello {
         version: VERSION,
@@ -99,5 +98,5 @@
         }
     };
     hub.disconnect(link);
-    Err(ended)
+    ended
 }
--- a/crates/core/src/spool.rs
+++ b/crates/core/src/spool.rs
@@ -16,4 +16,5 @@
 pub mod job;
 pub mod message;
 pub mod note;
+pub mod redial;
 pub mod safety;
--- a/crates/core/src/spool/entry.rs
+++ b/crates/core/src/spool/entry.rs
@@ -241,9 +241,10 @@
         grew
     }
 
-    /// Returns whether callers are served: a catalogue and an agent are known.
+    /// Returns whether callers are served: a catalogue and a backend server are known.
     pub fn is_ready(&self) -> bool {
-        self.stopping.is_none() && self.catalogue.is_some() && !self.agents.is_empty()
+        let knows_server = self.agents.values().any(|agent| agent.server.is_some());
+        self.stopping.is_none() && self.catalogue.is_some() && knows_server
     }
 
     /// Starts the planned stop: callers on open connections go on, and every job is answered by
--- a/crates/core/src/spool/entry/admission.rs
+++ b/crates/core/src/spool/entry/admission.rs
@@ -31,10 +31,7 @@
         if missing <= 0.0 {
             return Duration::ZERO;
         }
-        if self.capacity <= 0.0 {
-            return LONGEST_ADVICE;
-        }
-        let seconds = missing / self.capacity * self.run.as_secs_f64();
+        let seconds = missing / self.capacity.max(1.0) * self.run.as_secs_f64();
         Duration::from_secs_f64(seconds.min(LONGEST_ADVICE.as_secs_f64()))
     }
 }
--- a/crates/core/src/spool/entry/jobs.rs
+++ b/crates/core/src/spool/entry/jobs.rs
@@ -18,6 +18,10 @@
 /// Time for the answer's way back, taken off what the caller gives.
 const WAY_BACK: Duration = Duration::from_millis(20);
 
+/// Time from the start of the process until its agents have connected: agents try every 0.4 s or
+/// more often, and a connection takes one round trip.
+const START: Duration = Duration::from_millis(500);
+
 /// Advice for callers turned away for a reason that takes a reconnection to mend.
 const SOON: Duration = Duration::from_secs(1);
 
@@ -51,7 +55,7 @@
     }
 
     /// Judges whether a new job can be served.
-    fn judge(&self, key: JobKey, now: Mono) -> Result<(), (Refusal, Duration)> {
+    fn judge(&mut self, key: JobKey, now: Mono) -> Result<(), (Refusal, Duration)> {
         let job = &self.jobs[key];
         let is_over = |until: Mono| until <= now || self.agents.is_empty();
         if self.stopping.is_some_and(is_over) {
@@ -68,9 +72,33 @@
         {
             return Err((Refusal::NoBackend, SOON));
         }
-        let rank = self.rank(job, 0);
-        admit(&self.backlog(job), rank.latest_start.since(now))
-            .map_err(|retry_after| (Refusal::Overloaded, retry_after))
+        let slack = self.rank(job, 0).latest_start.since(now);
+        let backlog = self.backlog(job);
+        if backlog.capacity <= 0.0 {
+            return self.await_first_server(now);
+        }
+        admit(&backlog, slack).map_err(|retry_after| {
+            let note = Note::new("Found no room in time.")
+                .with("job", self.jobs[key].id)
+                .with("needed_cpu", backlog.needed)
+                .with("ahead_cpu", backlog.ahead)
+                .with("free_cpu", backlog.free)
+                .with("capacity_cpu", backlog.capacity)
+                .with("wait_ms", backlog.wait().as_millis())
+                .with("slack_ms", slack.as_millis());
+            self.note(note);
+            (Refusal::Overloaded, retry_after)
+        })
+    }
+
+    /// Lets a job wait for the agents that connect to an entry that has just started; an entry
+    /// without servers at another time cannot tell when one comes.
+    fn await_first_server(&self, now: Mono) -> Result<(), (Refusal, Duration)> {
+        if now.since(Mono(0)) < START {
+            Ok(())
+        } else {
+            Err((Refusal::NoBackend, SOON))
+        }
     }
 
     /// Returns whether servers of the service are known and none could ever run the step.
--- a/crates/core/tests/spool_entry.rs
+++ b/crates/core/tests/spool_entry.rs
@@ -398,3 +398,53 @@
 
     assert_eq!(answers(&mut entry), [(key, Answer::Completed)]);
 }
+
+#[test]
+fn a_job_waits_for_the_first_agents_of_an_entry_that_has_just_started() {
+    let mut entry = entry();
+    entry.submit(request(vec![step(1, smallvec![])]), queue(), at(10));
+
+    let link = entry.connect(
+        AgentHello {
+            name: "agent-1".to_owned(),
+            data_centre: "north".to_owned(),
+        },
+        at(50),
+    );
+    entry.report(link, report(10, Vec::new(), at(50)), at(50));
+
+    assert_eq!(starts(&mut entry).len(), 1);
+}
+
+#[test]
+fn a_job_is_refused_at_once_by_an_entry_that_has_lost_all_agents() {
+    let mut entry = entry();
+    let link = agent(&mut entry, "agent-1", 10, at(0));
+    for now in (20..3_000).step_by(20) {
+        entry.tick(at(now));
+    }
+    entry.disconnect(link, at(3_000));
+
+    let key = entry.submit(request(vec![step(1, smallvec![])]), queue(), at(3_001));
+
+    let refused = Answer::Refused {
+        reason: Refusal::NoBackend,
+        retry_after: Duration::from_secs(1),
+    };
+    assert_eq!(answers(&mut entry), [(key, refused)]);
+}
+
+#[test]
+fn an_entry_is_ready_once_a_backend_server_is_known() {
+    let mut entry = entry();
+    let hello = AgentHello {
+        name: "agent-1".to_owned(),
+        data_centre: "north".to_owned(),
+    };
+    let link = entry.connect(hello, at(10));
+    let before = entry.is_ready();
+    entry.report(link, report(10, Vec::new(), at(20)), at(20));
+
+    assert!(!before);
+    assert!(entry.is_ready());
+}
--- a/crates/entry/src/spool/links.rs
+++ b/crates/entry/src/spool/links.rs
@@ -21,12 +21,6 @@
 /// known to all within the two seconds that a change may take.
 const GOSSIP: Duration = Duration::from_millis(400);
 
-/// Time for a connection to another entry.
-const CONNECT: Duration = Duration::from_millis(400);
-
-/// Pause before another try to connect.
-const AGAIN: Duration = Duration::from_millis(300);
-
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -114,21 +108,19 @@
 }
 
 async fn dial(hub: Rc<Hub>, address: SocketAddr) {
-    let mut connected = false;
-    loop {
-        let ended = exchange(&hub, address, &mut connected).await;
-        if connected && let Err(error) = ended {
+    common::keep_connected(|| async {
+        let mut reached = false;
+        let ended = exchange(&hub, address, &mut reached).await;
+        if reached && let Err(error) = ended {
             log::warn!("links: Lost an entry. address={address} error={error:#}");
-            connected = false;
         }
-        tokio::time::sleep(AGAIN).await;
-    }
+        reached
+    })
+    .await;
 }
 
-async fn exchange(hub: &Hub, address: SocketAddr, connected: &mut bool) -> Result<()> {
-    let stream = timeout(CONNECT, TcpStream::connect(address))
-        .await
-        .context("no connection in time")??;
+async fn exchange(hub: &Hub, address: SocketAddr, reached: &mut bool) -> Result<()> {
+    let stream = common::connect(address).await?;
     let (sender, mut receiver) = channel::open(stream);
     sender.send(&Hello {
         version: VERSION,
@@ -138,8 +130,7 @@
     loop {
         sender.send(&hub.gossip_for(known));
         let heard: Gossip = receive(&mut receiver).await?;
-        if !*connected {
-            *connected = true;
+        if !std::mem::replace(reached, true) {
             log::info!(
                 "links: Reached an entry. address={address} entry={}",
                 heard.from.name
--- a/crates/kernel/src/spool.rs
+++ b/crates/kernel/src/spool.rs
@@ -2,16 +2,19 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result};
 use clap::{ArgMatches, Command};
 use ibisspool_core::spool::note::{Level, Note};
+use ibisspool_core::spool::redial::redial_pause;
 use ibisspool_core::spool::safety::Safety;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::timeout;
 
 use crate::log::Batch;
 use crate::metrics::Metrics;
@@ -21,6 +24,10 @@
 /// Time between two batches of log lines.
 const LOG_PAUSE: Duration = Duration::from_millis(100);
 
+/// Longest time for a connection: several round trips between regions, since an address without a
+/// VM answers nothing and the next try has to find the VM soon after it is back.
+const CONNECT: Duration = Duration::from_millis(120);
+
 /// Bounds on requests to the process's own addresses.
 pub const OWN_LIMITS: Limits = Limits {
     head_bytes: 8 << 10,
@@ -217,6 +224,30 @@
     }
 }
 
+/// Opens a connection.
+///
+/// # Errors
+/// Fails if nobody answers in time.
+pub async fn connect(address: SocketAddr) -> Result<TcpStream> {
+    let stream = timeout(CONNECT, TcpStream::connect(address)).await;
+    Ok(stream.context("no connection in time")??)
+}
+
+/// Attends connections to one address, one after another; `attend` returns whether there was one.
+pub async fn keep_connected<A, F>(attend: A)
+where
+    A: Fn() -> F,
+    F: Future<Output = bool>,
+{
+    let mut lost = Instant::now();
+    loop {
+        if attend().await {
+            lost = Instant::now();
+        }
+        tokio::time::sleep(redial_pause(lost.elapsed())).await;
+    }
+}
+
 /// Writes a log line of a decision.
 pub fn write(prefix: &str, note: &Note) {
     let level = match note.level {
@@ -250,7 +281,7 @@
 
 /// Serves the metrics. A process without them still does its work.
 async fn serve_metrics(address: SocketAddr, metrics: Metrics) {
-    match tokio::net::TcpListener::bind(address).await {
+    match TcpListener::bind(address).await {
         Ok(listener) => {
             let answer = move |_call| {
                 let body = metrics.text();
