--- a/crates/core/src/spool/catalogue.rs
+++ b/crates/core/src/spool/catalogue.rs
@@ -26,6 +26,8 @@
     pub stretch: f64,
     /// ... and this much more.
     pub target: Duration,
+    /// Whether an outside service says which backend servers may run a task.
+    pub advised: bool,
 }
 
 /// Limits on what callers send.
--- a/crates/core/src/spool/entry.rs
+++ b/crates/core/src/spool/entry.rs
@@ -32,6 +32,9 @@
 use agents::Agent;
 use dispatch::Rank;
 
+/// Factor on the run time of a task away from its data, if the deployment does not say.
+pub const FAR: f64 = 1.5;
+
 /// Time after a pause until all connections were looked at: two rounds of [`Entry::tick`].
 const SETTLE: Duration = Duration::from_millis(40);
 
@@ -156,6 +159,8 @@
     estimates: Estimates,
     /// Mean run time on all servers against the estimates.
     usual_pace: f64,
+    /// Factor on the run time of a task away from its data.
+    far: f64,
     random: SmallRng,
     /// When the last event was handled.
     handled: Mono,
@@ -183,6 +188,7 @@
             waiting: BTreeSet::new(),
             estimates: Estimates::default(),
             usual_pace: 1.0,
+            far: FAR,
             random: SmallRng::seed_from_u64(seed),
             handled: Mono(0),
             settled: Mono(0),
@@ -191,6 +197,13 @@
         }
     }
 
+    /// Sets the factor on the run time of a task away from its data.
+    #[must_use]
+    pub fn with_far(mut self, far: f64) -> Self {
+        self.far = far;
+        self
+    }
+
     /// Takes the actions recorded since the last call.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
--- a/crates/core/src/spool/entry/agents.rs
+++ b/crates/core/src/spool/entry/agents.rs
@@ -184,10 +184,17 @@
         }
         let task = &self.tasks[key];
         let job = &self.jobs[task.job];
+        let step = &job.request.steps[usize::from(task.step)];
+        let server = self
+            .agents
+            .get(link)
+            .and_then(|agent| agent.server.as_ref());
+        let distance = server.map_or(1.0, |server| self.distance(server, step));
         match outcome.end {
             End::Done => {
                 let queue = std::sync::Arc::clone(&job.queue.name);
-                self.estimates.learn(&queue, outcome.ran, pace);
+                let near = outcome.ran.div_f64(distance);
+                self.estimates.learn(&queue, near, pace);
                 self.complete(key, now);
             }
             End::Failed => {
--- a/crates/core/src/spool/entry/dispatch.rs
+++ b/crates/core/src/spool/entry/dispatch.rs
@@ -20,9 +20,6 @@
 /// Random part of the cost in seconds, so that several entries do not choose alike.
 const JITTER: f64 = 0.004;
 
-/// Factor on the run time of a task away from its data, until the deployment says otherwise.
-const FAR: f64 = 1.5;
-
 /// Order among waiting tasks: on time before late, then by the latest start that meets the
 /// objective, then by rank of the queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -104,7 +101,7 @@
                 pace: f64::from(agent.load.pace),
                 mean_run: mean_run.mul_f64(f64::from(agent.load.pace)),
                 tried: task.tried.contains(&agent.number),
-                distance: distance(server, step),
+                distance: self.distance(server, step),
             };
             let Some(choice) = judge(&candidate, &demand) else {
                 continue;
@@ -132,6 +129,14 @@
         usable.then_some(server)
     }
 
+    /// Returns the factor on the run time of a task whose data may be elsewhere.
+    pub(super) fn distance(&self, server: &Server, step: &Step) -> f64 {
+        match &step.rack {
+            Some(rack) if !server.labels.iter().any(|own| **own == **rack) => self.far,
+            _ => 1.0,
+        }
+    }
+
     /// Returns whether the server may get one more task of the step.
     fn may_spread(&self, task: &Task, step: &Step, link: LinkKey) -> bool {
         let Some(most) = step.spread else {
@@ -165,6 +170,8 @@
         job.offered = true;
         let job = &self.jobs[task.job];
         let step = &job.request.steps[usize::from(task.step)];
+        let server = self.agents[link].server.as_ref();
+        let distance = server.map_or(1.0, |server| self.distance(server, step));
         let start = Start {
             ticket,
             name: TaskName {
@@ -174,7 +181,7 @@
             },
             spec: Arc::clone(&job.request.spec),
             needs: step.needs,
-            estimate: self.run_time(job, step),
+            estimate: self.run_time(job, step).mul_f64(distance),
             slack_us: rank.latest_start.0.cast_signed() - now.0.cast_signed(),
             patience,
             priority: rank.priority,
@@ -204,11 +211,3 @@
         .as_ref()
         .is_none_or(|label| server.labels.iter().any(|own| **own == **label))
 }
-
-/// Returns the factor on the run time of a task whose data may be elsewhere.
-fn distance(server: &Server, step: &Step) -> f64 {
-    match &step.rack {
-        Some(rack) if !server.labels.iter().any(|own| **own == **rack) => FAR,
-        _ => 1.0,
-    }
-}
--- a/crates/core/tests/spool/world.rs
+++ b/crates/core/tests/spool/world.rs
@@ -223,6 +223,7 @@
         timeout: Duration::from_millis(1_500),
         stretch: 1.6,
         target: Duration::from_millis(60),
+        advised: false,
     }
 }
 
--- a/crates/core/tests/spool_entry.rs
+++ b/crates/core/tests/spool_entry.rs
@@ -37,6 +37,7 @@
         timeout: Duration::from_millis(1_500),
         stretch: 1.6,
         target: Duration::from_millis(60),
+        advised: false,
     }
 }
 
@@ -448,3 +449,29 @@
     assert!(!before);
     assert!(entry.is_ready());
 }
+
+#[test]
+fn a_task_away_from_its_data_is_expected_to_take_as_long_as_the_deployment_says() {
+    let mut entry = entry().with_far(3.0);
+    let link = agent(&mut entry, "agent-1", 10, at(0));
+    let far = Step {
+        rack: Some(Arc::from("r-9")),
+        estimate: Duration::from_millis(20),
+        ..step(1, smallvec![])
+    };
+    entry.submit(request(vec![far.clone()]), queue(), at(1));
+    let first = starts(&mut entry);
+    let done = Outcome {
+        ticket: first[0].1.ticket,
+        end: End::Done,
+        ran: Duration::from_millis(60),
+    };
+    entry.report(link, report(10, vec![done], at(61)), at(61));
+
+    entry.submit(request(vec![far]), queue(), at(62));
+
+    // The run of 60 ms is what 20 ms near the data take, so nothing new was learnt.
+    let second = starts(&mut entry);
+    assert_eq!(first[0].1.estimate, Duration::from_millis(60));
+    assert_eq!(second[0].1.estimate, Duration::from_millis(60));
+}
--- a/crates/entry/src/spool/hub.rs
+++ b/crates/entry/src/spool/hub.rs
@@ -43,7 +43,8 @@
             name: settings.common.name.clone(),
             address: settings.advertise,
         };
-        let entry = Entry::new(me.clone(), settings.common.safety, rand::random());
+        let entry =
+            Entry::new(me.clone(), settings.common.safety, rand::random()).with_far(settings.far);
         Rc::new(Self {
             me,
             clock: Clock::new(),
--- a/crates/entry/src/spool/settings.rs
+++ b/crates/entry/src/spool/settings.rs
@@ -19,6 +19,8 @@
     pub peer_listen: SocketAddr,
     /// Where agents and other entries reach it.
     pub advertise: SocketAddr,
+    /// Factor on the run time of a task away from its data.
+    pub far: f64,
 }
 
 impl Settings {
@@ -40,6 +42,14 @@
                 "IP:PORT",
                 "Where agents and other entries reach that address, if it is another one",
             ))
+            .arg(
+                flag(
+                    "far-factor",
+                    "NUMBER",
+                    "Factor on the run time of a task in another rack than its data",
+                )
+                .default_value("1.5"),
+            )
     }
 
     /// Reads and checks the settings.
@@ -54,12 +64,18 @@
         } else {
             peer_listen
         };
+        const FACTOR: &str = "a number from 1 to 100";
+        let far = read::<f64>(matches, "far-factor", FACTOR)?;
+        if !(1.0..=100.0).contains(&far) {
+            return Err(Error::new("far-factor", far, FACTOR));
+        }
         Ok(Self {
             common: spool::Settings::read(matches)?,
             listen: read(matches, "listen", ADDRESS)?,
             ready_listen: read(matches, "ready-listen", ADDRESS)?,
             peer_listen,
             advertise,
+            far,
         })
     }
 }
