--- a/crates/core/src/spool/agent.rs
+++ b/crates/core/src/spool/agent.rs
@@ -5,6 +5,7 @@
 
 mod backend;
 mod health;
+mod lists;
 mod order;
 mod queue;
 mod report;
@@ -21,8 +22,9 @@
 use super::safety::Safety;
 use crate::time::{Mono, Now};
 
-pub use backend::{Announcement, Ended, Hold, Listing, Running, StartAnswer};
+pub use backend::{Announcement, Hold, StartAnswer};
 pub use health::{Health, Verdict};
+pub use lists::{Ended, Listing, Running};
 pub use run::{Phase, Run};
 
 use report::Link;
--- a/crates/core/src/spool/entry/jobs.rs
+++ b/crates/core/src/spool/entry/jobs.rs
@@ -75,7 +75,7 @@
         let slack = self.rank(job, 0).latest_start.since(now);
         let backlog = self.backlog(job);
         if backlog.capacity <= 0.0 {
-            return self.await_first_server(now);
+            return await_first_server(now);
         }
         admit(&backlog, slack).map_err(|retry_after| {
             let note = Note::new("Found no room in time.")
@@ -91,16 +91,6 @@
         })
     }
 
-    /// Lets a job wait for the agents that connect to an entry that has just started; an entry
-    /// without servers at another time cannot tell when one comes.
-    fn await_first_server(&self, now: Mono) -> Result<(), (Refusal, Duration)> {
-        if now.since(Mono(0)) < START {
-            Ok(())
-        } else {
-            Err((Refusal::NoBackend, SOON))
-        }
-    }
-
     /// Returns whether servers of the service are known and none could ever run the step.
     fn nobody_fits(&self, job: &Job, step: &Step) -> bool {
         let mut known = self
@@ -448,6 +438,17 @@
     }
 }
 
+/// Lets a job wait for the agents that connect to an entry that has just started; an entry without
+/// servers at another time cannot tell when one comes.
+fn await_first_server(now: Mono) -> Result<(), (Refusal, Duration)> {
+    // The monotonic clock counts from the start of the process.
+    if now.since(Mono(0)) < START {
+        Ok(())
+    } else {
+        Err((Refusal::NoBackend, SOON))
+    }
+}
+
 /// Returns whether each step waits for earlier ones only.
 fn is_order_sound(steps: &[Step]) -> bool {
     steps
--- a/crates/core/tests/spool_entry.rs
+++ b/crates/core/tests/spool_entry.rs
@@ -62,6 +62,14 @@
     }
 }
 
+/// A job whose caller waits far longer than its objective.
+fn patient(step: Step) -> Request {
+    Request {
+        budget: Duration::from_secs(10),
+        ..request(vec![step])
+    }
+}
+
 fn snapshot(version: u64, out_of_service: &[&str]) -> Arc<Snapshot> {
     Arc::new(Snapshot {
         version,
@@ -111,12 +119,15 @@
     }
 }
 
-fn agent(entry: &mut Entry, name: &str, rooms: u32, now: Now) -> LinkKey {
-    let hello = AgentHello {
+fn hello(name: &str) -> AgentHello {
+    AgentHello {
         name: name.to_owned(),
         data_centre: "north".to_owned(),
-    };
-    let link = entry.connect(hello, now);
+    }
+}
+
+fn agent(entry: &mut Entry, name: &str, rooms: u32, now: Now) -> LinkKey {
+    let link = entry.connect(hello(name), now);
     entry.report(link, report(rooms, Vec::new(), now), now);
     entry.take_actions();
     link
@@ -361,11 +372,7 @@
 fn a_job_that_no_server_can_end_in_time_is_answered_at_once() {
     let mut entry = entry();
     let link = agent(&mut entry, "agent-1", 10, at(0));
-    let patient = Request {
-        budget: Duration::from_secs(10),
-        ..request(vec![step(1, smallvec![])])
-    };
-    let key = entry.submit(patient, queue(), at(1));
+    let key = entry.submit(patient(step(1, smallvec![])), queue(), at(1));
     let sent = starts(&mut entry);
     let lost = vec![outcome(&sent[0].1, End::Lost)];
     let mut full = report(0, lost, at(100));
@@ -384,11 +391,7 @@
 fn a_job_that_runs_is_answered_when_it_ends_however_late() {
     let mut entry = entry();
     let link = agent(&mut entry, "agent-1", 10, at(0));
-    let patient = Request {
-        budget: Duration::from_secs(10),
-        ..request(vec![step(1, smallvec![])])
-    };
-    let key = entry.submit(patient, queue(), at(1));
+    let key = entry.submit(patient(step(1, smallvec![])), queue(), at(1));
     let sent = starts(&mut entry);
 
     for now in (20..3_000).step_by(20) {
@@ -405,13 +408,7 @@
     let mut entry = entry();
     entry.submit(request(vec![step(1, smallvec![])]), queue(), at(10));
 
-    let link = entry.connect(
-        AgentHello {
-            name: "agent-1".to_owned(),
-            data_centre: "north".to_owned(),
-        },
-        at(50),
-    );
+    let link = entry.connect(hello("agent-1"), at(50));
     entry.report(link, report(10, Vec::new(), at(50)), at(50));
 
     assert_eq!(starts(&mut entry).len(), 1);
@@ -438,11 +435,7 @@
 #[test]
 fn an_entry_is_ready_once_a_backend_server_is_known() {
     let mut entry = entry();
-    let hello = AgentHello {
-        name: "agent-1".to_owned(),
-        data_centre: "north".to_owned(),
-    };
-    let link = entry.connect(hello, at(10));
+    let link = entry.connect(hello("agent-1"), at(10));
     let before = entry.is_ready();
     entry.report(link, report(10, Vec::new(), at(20)), at(20));
 
--- a/crates/core/tests/spool_redial.rs
+++ b/crates/core/tests/spool_redial.rs
@@ -13,7 +13,7 @@
     while now < away {
         now += TRY + redial_pause(now);
     }
-    now - away
+    now.saturating_sub(away)
 }
 
 #[test]
@@ -27,7 +27,7 @@
 
 #[test]
 fn an_address_that_never_comes_back_costs_two_tries_a_second() {
-    let pause = redial_pause(Duration::from_secs(3_600));
+    let pause = redial_pause(Duration::from_hours(1));
 
     assert!(pause + TRY >= Duration::from_millis(500));
 }
--- a/crates/entry/src/spool/settings.rs
+++ b/crates/entry/src/spool/settings.rs
@@ -58,13 +58,13 @@
     /// Fails if a setting is not allowed.
     pub fn read(matches: &ArgMatches) -> Result<Self, Error> {
         const ADDRESS: &str = "an address such as 10.0.0.1:8080";
+        const FACTOR: &str = "a number from 1 to 100";
         let peer_listen = read(matches, "peer-listen", ADDRESS)?;
         let advertise = if matches.contains_id("advertise") {
             read(matches, "advertise", ADDRESS)?
         } else {
             peer_listen
         };
-        const FACTOR: &str = "a number from 1 to 100";
         let far = read::<f64>(matches, "far-factor", FACTOR)?;
         if !(1.0..=100.0).contains(&far) {
             return Err(Error::new("far-factor", far, FACTOR));
