--- a/crates/core/tests/spool/world.rs
+++ b/crates/core/tests/spool/world.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod connections;
+mod event;
 mod faults;
 pub mod plan;
 mod servers;
@@ -11,11 +12,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ibisspool_core::spool::agent::{self, Agent, Announcement, Hold, Listing, StartAnswer};
+use ibisspool_core::spool::agent::{self, Agent, Announcement};
 use ibisspool_core::spool::catalogue::{Limits, Queue, Snapshot};
-use ibisspool_core::spool::entry::{self, Answer, Entry, JobKey};
-use ibisspool_core::spool::job::{Id, Resources, TaskName};
-use ibisspool_core::spool::message::{Order, Report, Stamp};
+use ibisspool_core::spool::entry::{self, Entry, JobKey};
+use ibisspool_core::spool::job::{Id, Resources};
+use ibisspool_core::spool::message::Stamp;
 use ibisspool_core::spool::note::Note;
 use ibisspool_core::spool::safety::Safety;
 use ibisspool_core::time::{Mono, Now, Wall};
@@ -24,6 +25,8 @@
 
 use ibisspool_standin::executor::Executor;
 
+pub use event::Process;
+use event::{Call, Event, Message};
 pub use plan::{Fault, Job, Mutant, Plan, Seen};
 
 pub const MS: u64 = 1_000;
@@ -34,108 +37,6 @@
 /// Wall time at the start of a run.
 const EPOCH_MS: u64 = 1_700_000_000_000;
 
-#[derive(Debug, Clone)]
-enum Event {
-    Tick,
-    Fault(Fault),
-    Revive(Process),
-    Wake(Process),
-    Submit {
-        job: usize,
-        attempt: u32,
-        entry: usize,
-    },
-    GiveUp {
-        job: usize,
-        attempt: u32,
-    },
-    Close {
-        job: usize,
-        attempt: u32,
-        entry: usize,
-        boot: u64,
-    },
-    Answered {
-        job: usize,
-        attempt: u32,
-        answer: Option<Answer>,
-    },
-    Deliver {
-        to: Process,
-        boot: u64,
-        message: Message,
-    },
-    Call {
-        agent: usize,
-        boot: u64,
-        call: Call,
-        answered: bool,
-    },
-    HoldOver {
-        agent: usize,
-        boot: u64,
-        hold: u64,
-    },
-    Dial {
-        agent: usize,
-        entry: usize,
-    },
-    /// An agent gives up the connection to an entry that has been silent since its pause began,
-    /// unless the agent has slept meanwhile: its timers stood still then.
-    GiveUpLink {
-        agent: usize,
-        entry: usize,
-        slept: u64,
-    },
-    Restore(usize, f64),
-    Announce(usize),
-    NextHold {
-        agent: usize,
-        boot: u64,
-    },
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Process {
-    Entry(usize),
-    Agent(usize),
-}
-
-#[derive(Debug, Clone)]
-enum Message {
-    Report(u64, Report),
-    Order(u64, Order),
-    Connected(u64),
-    Ended(u64),
-    StartAnswer(agent::RunKey, StartAnswer),
-    StopAnswer(u64),
-    Listing(Listing, u64),
-    HoldFailed,
-}
-
-#[derive(Debug, Clone)]
-enum Call {
-    Start {
-        key: agent::RunKey,
-        name: TaskName,
-        number: u64,
-        until: u64,
-        token: u64,
-        incarnation: Arc<str>,
-        sent: u64,
-    },
-    Stop {
-        name: TaskName,
-        number: u64,
-        token: u64,
-    },
-    Hold {
-        hold: Hold,
-        id: u64,
-        probe: bool,
-    },
-}
-
 struct EntryProcess {
     entry: Option<Entry>,
     boot: u64,
