fix(entry): an entry that hears no agent is not ready and lets its callers go elsewhere

Cause: readiness went by connections, which a cut entry keeps for a second or longer; it refused its callers meanwhile and kept their connections open.

While it is not, connections close after their answer.

--- a/crates/core/src/spool/entry.rs
+++ b/crates/core/src/spool/entry.rs
@@ -254,10 +254,12 @@
         grew
     }
 
-    /// Returns whether callers are served: a catalogue and a backend server are known.
-    pub fn is_ready(&self) -> bool {
-        let knows_server = self.agents.values().any(|agent| agent.server.is_some());
-        self.stopping.is_none() && self.catalogue.is_some() && knows_server
+    /// Returns whether callers are served: a catalogue is known, and a backend server whose agent was
+    /// heard lately. An entry that is cut off says so at once, and callers find another one.
+    pub fn is_ready(&self, now: Mono) -> bool {
+        let knows = |agent: &Agent| agent.server.is_some() && self.is_fresh(agent, now);
+        let serves = self.agents.values().any(knows);
+        self.stopping.is_none() && self.catalogue.is_some() && serves
     }
 
     /// Starts the planned stop: callers on open connections go on, and every job is answered by
@@ -269,11 +271,6 @@
         }
     }
 
-    /// Returns whether the planned stop has begun.
-    pub fn is_stopping(&self) -> bool {
-        self.stopping.is_some()
-    }
-
     /// Returns the number of jobs whose callers wait.
     pub fn open_jobs(&self) -> usize {
         self.jobs.len()
--- a/crates/entry/src/spool/callers.rs
+++ b/crates/entry/src/spool/callers.rs
@@ -43,7 +43,7 @@
         Ask::Submit(request, queue) => submit(&hub, request, queue).await,
     };
     // Callers find another entry while this one can still answer them.
-    reply.close |= hub.look(ibisspool_core::spool::entry::Entry::is_stopping);
+    reply.close |= !hub.is_ready();
     reply
 }
 
@@ -85,7 +85,7 @@
 /// Answers whether new connections may come.
 pub async fn serve_readiness(listener: TcpListener, hub: Rc<Hub>) {
     let answer = move |call: Call| {
-        let ready = hub.look(ibisspool_core::spool::entry::Entry::is_ready);
+        let ready = hub.is_ready();
         let status = if call.uri.path() != caller::READY_PATH {
             StatusCode::NOT_FOUND
         } else if ready {
--- a/crates/entry/src/spool/hub.rs
+++ b/crates/entry/src/spool/hub.rs
@@ -162,6 +162,11 @@
         look(&self.entry.borrow())
     }
 
+    /// Returns whether callers are served here.
+    pub fn is_ready(&self) -> bool {
+        self.entry.borrow().is_ready(self.clock.now().mono)
+    }
+
     /// Takes in what another entry says, or what the store says of entries.
     pub fn learn_members(&self, members: &[Member]) {
         if self.decide(|entry, _now| entry.learn_members(members)) {
