feat(spool): agents rest at entries that do not use them, and report their load within a budget

Cause: each agent reported to each entry five times a second and at each change of a busy server's room, so messages grew with entries x agents: 17.6% of a core and 281 kB/s for an entry at 300 VMs, and an entry at 923 VMs would not have fitted its VM.

Change: an entry keeps 24 agents of a service close and lets the others rest, which then report once a second and when their room has changed much; it wakes one whose room it wants and places nothing by an old report. Reports about the load alone are at least 4 ms apart for each entry that needs them. Entries exchange less often the more of them there are, at most 1.2 s apart.

--- a/crates/agent/src/spool/hub.rs
+++ b/crates/agent/src/spool/hub.rs
@@ -225,6 +225,11 @@
         self.decide(|agent, now| agent.disconnect(link, now));
     }
 
+    /// Returns whether the entry at a connection needs few reports.
+    pub fn rests(&self, link: LinkKey) -> bool {
+        self.agent.borrow().rests(link)
+    }
+
     /// Does what is due.
     pub fn tick(self: &Rc<Self>) {
         self.decide(Agent::tick);
--- a/crates/agent/src/spool/links.rs
+++ b/crates/agent/src/spool/links.rs
@@ -11,13 +11,15 @@
 use ibisspool_platform::store::Store;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
-use tokio::time::timeout;
 
 use super::hub::Hub;
 
 /// An entry without a message for this long is given up: it answers each third report.
 const SILENCE: Duration = Duration::from_millis(1_200);
 
+/// As many times that for an entry that needs few reports, which it answers once a second.
+const SELDOM: u32 = 2;
+
 /// Time after which an agent that knows few entries asks the store for them.
 const ASK_STORE: Duration = Duration::from_secs(1);
 
@@ -85,16 +87,16 @@
     });
     let link = hub.connect(&address.to_string(), sender);
     let ended = loop {
-        match timeout(SILENCE, receiver.receive::<Order>()).await {
-            Ok(Ok(Some(mut order))) => {
+        let goes_on = |silences| silences < SELDOM && hub.rests(link);
+        match receiver.receive_while::<Order, _>(SILENCE, goes_on).await {
+            Ok(Some(mut order)) => {
                 if let Some(members) = order.members.take() {
                     hub.learn_members(members);
                 }
                 hub.decide(|agent, now| agent.order(link, order, now));
             }
-            Ok(Ok(None)) => break anyhow::anyhow!("the entry closed the connection"),
-            Ok(Err(error)) => break error.into(),
-            Err(_elapsed) => break anyhow::anyhow!("the entry was silent"),
+            Ok(None) => break anyhow::anyhow!("the entry closed the connection"),
+            Err(error) => break error.into(),
         }
     };
     hub.disconnect(link);
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -12,10 +12,10 @@
 {
     members
         .into_iter()
-        .max_by_key(|member| (weight(&member.name, id), &member.name))
+        .max_by_key(|member| (weight(&member.name, id.as_bytes()), &member.name))
 }
 
-fn weight(name: &str, id: &Id) -> u64 {
-    let seed = xxh3_64_with_seed(name.as_bytes(), 0);
-    xxh3_64_with_seed(id.as_bytes(), seed)
+/// Returns the weight of a key at a member; each member has its own order of the keys.
+pub fn weight(member: &str, key: &[u8]) -> u64 {
+    xxh3_64_with_seed(key, xxh3_64_with_seed(member.as_bytes(), 0))
 }
--- a/crates/core/src/spool/agent/order.rs
+++ b/crates/core/src/spool/agent/order.rs
@@ -29,6 +29,7 @@
             self.take(link, start, now);
         }
         self.start_queued(now);
+        self.set_rest(link, order.rest, now.mono);
         self.report_due(now.mono);
     }
 
--- a/crates/core/src/spool/agent/report.rs
+++ b/crates/core/src/spool/agent/report.rs
@@ -11,6 +11,18 @@
 /// that was silent for most of the silence bound.
 const IDLE_REPORT: Duration = Duration::from_millis(200);
 
+/// Time between two reports to an entry that needs few. They show it that the server is there and
+/// about how busy.
+const REST_REPORT: Duration = Duration::from_secs(1);
+
+/// Time between two reports about the load alone, for each entry that needs many: 250 a second cost a
+/// VM with a sixth of a core about 1% of one.
+const NEWS_PAUSE: Duration = Duration::from_millis(4);
+
+/// Part of the server's capacity by which its room has to change for a report to an entry that needs
+/// few: in a burst such entries have to know that there is no room.
+const MUCH: f64 = 1.0 / 3.0;
+
 /// Part of the silence bound after which an agent asks an entry for a sign of life.
 const RENEW_PART: f64 = 0.45;
 
@@ -28,6 +40,8 @@
     pub last_report: Option<Mono>,
     pub server_sent: Option<Server>,
     pub last_load: Load,
+    /// Whether the entry needs few reports.
+    pub rests: bool,
 }
 
 impl Agent {
@@ -43,6 +57,7 @@
             last_report: None,
             server_sent: None,
             last_load: Load::default(),
+            rests: false,
         });
         self.report(key, now.mono);
         key
@@ -102,18 +117,61 @@
             self.report_all_at = None;
         }
         let load = self.load(now);
+        let pause = self.news_pause();
+        let mut next: Option<Mono> = None;
         let keys: Vec<LinkKey> = self.links.keys().collect();
         for key in keys {
             let link = &self.links[key];
             let age = link.last_report.map(|at| now.since(at));
-            let idle = age.is_none_or(|age| age >= IDLE_REPORT);
-            let changed = all && is_news(&link.last_load, &load);
+            let waited = |pause| age.is_none_or(|age| age >= pause);
+            let (idle, changed) = if link.rests {
+                let much = self.has_changed_much(&link.last_load, &load);
+                (waited(REST_REPORT), much && waited(IDLE_REPORT))
+            } else {
+                let news = all && is_news(&link.last_load, &load);
+                if news && !waited(pause) {
+                    let due = link.last_report.unwrap_or(now).plus(pause);
+                    next = Some(next.map_or(due, |next| next.min(due)));
+                }
+                (waited(IDLE_REPORT), news && waited(pause))
+            };
             let renew = self.needs_renewal(key, now)
                 && age.is_none_or(|age| age >= self.safety.silence.mul_f64(RENEW_PART / 2.0));
             if idle || changed || renew || !link.outcomes.is_empty() {
                 self.report(key, now);
             }
         }
+        if let Some(due) = next {
+            self.report_all_at = Some(due);
+        }
+    }
+
+    /// Returns the least time between two reports to one entry that are about the load alone.
+    fn news_pause(&self) -> Duration {
+        let close = self.links.values().filter(|link| !link.rests).count();
+        NEWS_PAUSE * close as u32
+    }
+
+    fn has_changed_much(&self, old: &Load, new: &Load) -> bool {
+        let capacity = self.backend.as_ref().map_or(0, |known| known.capacity.cpu);
+        let change = old.free.cpu.abs_diff(new.free.cpu);
+        f64::from(change) > f64::from(capacity) * MUCH || (old.open == 0) != (new.open == 0)
+    }
+
+    /// Notes how many reports an entry needs; one that wants many again gets the first at once.
+    pub(super) fn set_rest(&mut self, key: LinkKey, rest: bool, now: Mono) {
+        if let Some(link) = self.links.get_mut(key) {
+            let woken = link.rests && !rest;
+            link.rests = rest;
+            if woken {
+                self.report(key, now);
+            }
+        }
+    }
+
+    /// Returns whether the entry at a connection needs few reports, and so says little itself.
+    pub fn rests(&self, key: LinkKey) -> bool {
+        self.links.get(key).is_some_and(|link| link.rests)
     }
 
     /// Returns whether tasks of the entry would soon outlive its permit.
--- a/crates/core/src/spool/entry.rs
+++ b/crates/core/src/spool/entry.rs
@@ -10,6 +10,7 @@
 mod gossip;
 mod jobs;
 pub mod placement;
+mod watch;
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -29,7 +30,8 @@
 
 pub use admission::{Backlog, admit};
 pub use estimate::Estimates;
-pub use gossip::Peer;
+pub use gossip::{Peer, gossip_pause};
+pub use watch::WATCHED;
 
 use agents::Agent;
 use dispatch::Rank;
@@ -163,6 +165,10 @@
     usual_pace: f64,
     /// Factor on the run time of a task away from its data.
     far: f64,
+    /// Most agents of a service that report often without being in use.
+    watched: usize,
+    /// When it is next chosen which agents rest.
+    watch_due: Mono,
     random: SmallRng,
     /// When the last event was handled.
     handled: Mono,
@@ -191,6 +197,8 @@
             estimates: Estimates::default(),
             usual_pace: 1.0,
             far: FAR,
+            watched: WATCHED,
+            watch_due: Mono(0),
             random: SmallRng::seed_from_u64(seed),
             handled: Mono(0),
             settled: Mono(0),
@@ -206,6 +214,13 @@
         self
     }
 
+    /// Sets how many agents of a service report often without being in use.
+    #[must_use]
+    pub fn with_watched(mut self, watched: usize) -> Self {
+        self.watched = watched;
+        self
+    }
+
     /// Takes the actions recorded since the last call.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
@@ -289,6 +304,7 @@
         self.expire(now);
         self.dispatch(now);
         self.renew_agents(now.mono);
+        self.choose_watched(now.mono);
     }
 
     fn expire(&mut self, now: Now) {
--- a/crates/core/src/spool/entry/agents.rs
+++ b/crates/core/src/spool/entry/agents.rs
@@ -9,7 +9,9 @@
 };
 use super::super::note::Note;
 use super::estimate::usual_pace;
+use super::watch::Watch;
 use super::{Action, Entry, LinkKey, Place, TaskKey};
+use crate::rendezvous::weight;
 use crate::time::{Mono, Now};
 
 /// Part of the silence bound after which an agent without reports gets no new task.
@@ -45,6 +47,11 @@
     members_sent: u64,
     pending: VecDeque<Pending>,
     pub sent: usize,
+    pub watch: Watch,
+    /// Order among the agents that this entry watches; the lowest come first.
+    pub rank: u64,
+    /// When it last got a task of ours or was woken.
+    pub used: Mono,
 }
 
 impl Agent {
@@ -62,8 +69,10 @@
     }
 
     /// Counts a task that goes along with the next order.
-    pub fn reserve(&mut self, start: &Start) {
+    pub fn reserve(&mut self, start: &Start, now: Mono) {
         self.sent += 1;
+        self.watch = Watch::Close;
+        self.used = now;
         self.pending.push_back(Pending {
             sequence: self.sequence + 1,
             needs: start.needs,
@@ -90,6 +99,7 @@
             .with("agent", &hello.name)
             .with("data_centre", &hello.data_centre);
         self.note(note);
+        let rank = weight(&self.members[0].name, hello.name.as_bytes());
         self.agents.insert(Agent {
             name: hello.name,
             number,
@@ -104,6 +114,9 @@
             members_sent: 0,
             pending: VecDeque::new(),
             sent: 0,
+            watch: Watch::Close,
+            rank,
+            used: now.mono,
         })
     }
 
@@ -145,6 +158,10 @@
         };
         agent.heard = now.mono;
         agent.stamp = Some(report.stamp);
+        if let Watch::Woken(_) = agent.watch {
+            agent.watch = Watch::Close;
+        }
+        let same_pace = agent.load.pace.to_bits() == report.load.pace.to_bits();
         agent.load = report.load;
         while agent
             .pending
@@ -163,8 +180,10 @@
             agent.server = Some(server);
             self.note(note);
         }
-        let paces = self.agents.values().map(|agent| agent.load.pace);
-        self.usual_pace = usual_pace(paces);
+        if !same_pace {
+            let paces = self.agents.values().map(|agent| agent.load.pace);
+            self.usual_pace = usual_pace(paces);
+        }
         if report.cleared {
             self.release_orphans(now, |agent, _until| agent == number);
         }
@@ -260,6 +279,18 @@
         agent.stamp.is_some() && now.since(agent.heard) < bound
     }
 
+    /// Returns whether the data centre of an agent is out of service.
+    pub(super) fn is_out_of_service(&self, agent: &Agent) -> bool {
+        self.catalogue
+            .as_ref()
+            .is_some_and(|known| known.out_of_service.contains(&agent.data_centre))
+    }
+
+    /// Returns whether an agent rests, so that its connection may be silent for longer.
+    pub fn rests(&self, link: LinkKey) -> bool {
+        self.agents.get(link).is_some_and(Agent::rests)
+    }
+
     /// Answers an agent that has tasks of ours with a sign of life.
     fn renew(&mut self, link: LinkKey, now: Mono) {
         let Some(agent) = self.agents.get(link) else {
@@ -322,6 +353,7 @@
             cancels,
             out_of_service,
             members,
+            rest: agent.rests(),
         };
         self.actions.push(Action::Order(link, order));
     }
--- a/crates/core/src/spool/entry/dispatch.rs
+++ b/crates/core/src/spool/entry/dispatch.rs
@@ -44,6 +44,10 @@
                 break;
             }
             match self.choose(key, rank, now.mono) {
+                Some((link, _wait)) if !self.is_fresh(&self.agents[link], now.mono) => {
+                    self.wake(link, now.mono);
+                    failures += 1;
+                }
                 Some((link, wait)) => {
                     self.waiting.remove(&(rank, key));
                     let start = self.start(key, rank, link, patience(wait), now.mono);
@@ -88,7 +92,7 @@
         let mean_run = self.estimates.mean_run();
         let mut best: Option<(f64, LinkKey, Duration)> = None;
         for (link, agent) in &self.agents {
-            let Some(server) = self.usable(agent, job, now) else {
+            let Some((server, wake)) = self.usable(agent, job, now) else {
                 continue;
             };
             if !has_label(server, step) || !self.may_spread(task, step, link) {
@@ -106,7 +110,7 @@
             let Some(choice) = judge(&candidate, &demand) else {
                 continue;
             };
-            let cost = choice.cost + self.random.random::<f64>() * JITTER;
+            let cost = choice.cost + wake + self.random.random::<f64>() * JITTER;
             if best.is_none_or(|(least, _link, _wait)| cost < least) {
                 best = Some((cost, link, choice.wait));
             }
@@ -114,19 +118,16 @@
         best.map(|(_cost, link, wait)| (link, wait))
     }
 
-    /// Returns the server of an agent if tasks of the job may go there now.
-    fn usable<'a>(&self, agent: &'a Agent, job: &Job, now: Mono) -> Option<&'a Server> {
+    /// Returns the server of an agent if tasks of the job may go there now, and the extra cost if
+    /// the agent has to be woken.
+    fn usable<'a>(&self, agent: &'a Agent, job: &Job, now: Mono) -> Option<(&'a Server, f64)> {
         let server = agent.server.as_ref()?;
-        let out_of_service = self
-            .catalogue
-            .as_ref()
-            .is_some_and(|known| known.out_of_service.contains(&agent.data_centre));
         let usable = server.ready
             && server.service == job.queue.service
-            && !out_of_service
-            && agent.open() > 0
-            && self.is_fresh(agent, now);
-        usable.then_some(server)
+            && !self.is_out_of_service(agent)
+            && agent.open() > 0;
+        let wake = self.wake_cost(agent, now)?;
+        usable.then_some((server, wake))
     }
 
     /// Returns the factor on the run time of a task whose data may be elsewhere.
@@ -191,7 +192,7 @@
         let waiting = self.waiting.len();
         let waited = now.since(job.arrived).as_millis();
         let agent = &mut self.agents[link];
-        agent.reserve(&start);
+        agent.reserve(&start, now);
         let note = Note::new("Sent a task.")
             .with("job", start.name)
             .with("agent", &agent.name)
--- a/crates/core/src/spool/entry/gossip.rs
+++ b/crates/core/src/spool/entry/gossip.rs
@@ -4,9 +4,27 @@
 //! times a second. What has not changed since the last message is left out, so that a message does
 //! not grow with the number of entries.
 
+use std::time::Duration;
+
 use super::super::message::Gossip;
 use super::Entry;
 
+/// Shortest pause between two exchanges with one other entry: a change that the store does not tell
+/// one of them is known to all within the two seconds that a change may take.
+const SHORTEST: Duration = Duration::from_millis(400);
+
+/// Longest pause, so that an entry that reaches only one other still learns of a change in time.
+const LONGEST: Duration = Duration::from_millis(1_200);
+
+/// Other entries up to which each is asked after the shortest pause; with more of them, an entry
+/// hears of a change as soon from any of them.
+const FEW: u32 = 12;
+
+/// Returns the pause between two exchanges with one of so many other entries.
+pub fn gossip_pause(others: usize) -> Duration {
+    (SHORTEST * others as u32 / FEW).clamp(SHORTEST, LONGEST)
+}
+
 /// What the entry at the other end of a connection knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Peer {
--- a/crates/core/src/spool/message.rs
+++ b/crates/core/src/spool/message.rs
@@ -66,6 +66,8 @@
     pub out_of_service: Option<(u64, Vec<String>)>,
     /// The entries, if they have changed since the last order.
     pub members: Option<Vec<Member>>,
+    /// Whether few reports will do until the next order that says otherwise.
+    pub rest: bool,
 }
 
 /// State of a backend server as its agent sees it.
@@ -187,7 +189,7 @@
 }
 
 /// Version of these messages; a process refuses connections that speak another one.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 
 /// First message of a connection.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/core/tests/spool/faults.rs
+++ b/crates/core/tests/spool/faults.rs
@@ -156,7 +156,8 @@
                     safety.stop_patience = Duration::from_millis(1);
                     safety.lease = Duration::from_millis(1);
                 }
-                let mut entry = Entry::new(me, safety, self.random.random());
+                let mut entry =
+                    Entry::new(me, safety, self.random.random()).with_watched(self.plan.watched);
                 entry.learn_members(&all);
                 entry.set_catalogue(Arc::new(catalogue()), "test", now);
                 let slot = &mut self.entries[index];
--- a/crates/core/tests/spool/plan.rs
+++ b/crates/core/tests/spool/plan.rs
@@ -32,6 +32,8 @@
     pub late_orders: f64,
     /// Share of answers of backend servers that are lost.
     pub lost_answers: f64,
+    /// Agents that report often to an entry that does not use them.
+    pub watched: usize,
     pub faults: Vec<(u64, Fault)>,
     pub jobs: Vec<(u64, Job)>,
     pub end: u64,
@@ -87,6 +89,8 @@
     pub expired: u64,
     pub failed: u64,
     pub resubmitted: u64,
+    /// Messages from agents to entries.
+    pub reports: u64,
     /// By queue.
     pub(super) tallies: BTreeMap<usize, Tally>,
     /// Times until refusals.
--- a/crates/core/tests/spool/world.rs
+++ b/crates/core/tests/spool/world.rs
@@ -520,6 +520,7 @@
                         && self.connections[&id].open
                     {
                         self.agents[index].sent.insert(id, report.stamp);
+                        self.seen.reports += 1;
                         self.send(id, true, Message::Report(id, report));
                     }
                 }
--- a/crates/core/tests/spool_agent.rs
+++ b/crates/core/tests/spool_agent.rs
@@ -89,6 +89,7 @@
         cancels: Vec::new(),
         out_of_service: None,
         members: None,
+        rest: false,
     }
 }
 
@@ -344,3 +345,26 @@
 
     assert_eq!((closed, probing), (Some(0), Some(1)));
 }
+
+#[test]
+fn an_entry_that_needs_few_reports_gets_one_a_second_until_it_asks() {
+    let (mut agent, link) = agent();
+    let rest = Order {
+        rest: true,
+        ..order(at(10), 1, Vec::new())
+    };
+    agent.order(link, rest, at(10));
+    agent.take_actions();
+
+    let seen: Vec<usize> = [300, 600, 1_100]
+        .iter()
+        .map(|&millis| {
+            agent.tick(at(millis));
+            reports(&mut agent).len()
+        })
+        .collect();
+    agent.order(link, order(at(1_200), 2, Vec::new()), at(1_200));
+
+    assert_eq!(seen, [0, 0, 1]);
+    assert_eq!(reports(&mut agent).len(), 1, "it is told at once");
+}
--- a/crates/core/tests/spool_entry.rs
+++ b/crates/core/tests/spool_entry.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use ibisspool_core::spool::catalogue::{Limits, Queue, Snapshot};
-use ibisspool_core::spool::entry::{Action, Answer, Entry, JobKey, LinkKey, Peer, Refusal};
+use ibisspool_core::spool::entry::{
+    Action, Answer, Entry, JobKey, LinkKey, Peer, Refusal, gossip_pause,
+};
 use ibisspool_core::spool::job::{Id, Request, Resources, Step};
 use ibisspool_core::spool::message::{
     AgentHello, Declined, End, Load, Member, Order, Outcome, Report, Server, Stamp, Start,
@@ -511,3 +513,70 @@
     assert_eq!(same.catalogue, None);
     assert_eq!(behind.catalogue.map(|catalogue| catalogue.version), Some(2));
 }
+
+/// An entry that watches one agent of three, and lets the others rest.
+fn entry_with_resting_agents() -> (Entry, Vec<LinkKey>) {
+    let mut entry = entry().with_watched(1);
+    let all: Vec<LinkKey> = ["agent-1", "agent-2", "agent-3"]
+        .iter()
+        .map(|name| agent(&mut entry, name, 2, at(0)))
+        .collect();
+    for &link in &all {
+        entry.report(link, report(2, Vec::new(), at(700)), at(700));
+    }
+    entry.tick(at(700));
+    let rest: Vec<LinkKey> = orders(&mut entry)
+        .into_iter()
+        .filter(|(_link, order)| order.rest)
+        .map(|(link, _order)| link)
+        .collect();
+    for &link in &rest {
+        entry.report(link, report(2, Vec::new(), at(1_700)), at(1_700));
+    }
+    entry.take_actions();
+    (entry, rest)
+}
+
+#[test]
+fn agents_that_are_not_in_use_rest_but_for_a_few() {
+    let (entry, resting) = entry_with_resting_agents();
+
+    assert_eq!(resting.len(), 2);
+    assert!(resting.iter().all(|link| entry.rests(*link)));
+}
+
+#[test]
+fn a_resting_agent_is_woken_for_its_room_and_gets_tasks_by_a_new_report() {
+    let (mut entry, resting) = entry_with_resting_agents();
+
+    // All reports are older than the bound on a start.
+    entry.submit(request(vec![step(1, smallvec![])]), queue(), at(2_100));
+    let (link, asked) = orders(&mut entry).remove(0);
+    entry.report(link, report(2, Vec::new(), at(2_102)), at(2_102));
+
+    assert!(resting.contains(&link));
+    assert!(asked.starts.is_empty() && !asked.rest);
+    let sent = starts(&mut entry);
+    assert_eq!(sent.len(), 1);
+    assert_eq!(sent[0].0, link);
+}
+
+#[test]
+fn a_resting_agent_that_does_not_answer_is_asked_once() {
+    let (mut entry, resting) = entry_with_resting_agents();
+    entry.submit(request(vec![step(1, smallvec![])]), queue(), at(2_100));
+    let first = orders(&mut entry).remove(0).0;
+
+    entry.tick(at(2_120));
+
+    let second = orders(&mut entry).remove(0).0;
+    assert!(resting.contains(&second));
+    assert_ne!(first, second);
+}
+
+#[test]
+fn exchanges_of_many_entries_are_further_apart() {
+    let pauses = [1, 12, 24, 300].map(|others| gossip_pause(others).as_millis());
+
+    assert_eq!(pauses, [400, 400, 800, 1_200]);
+}
--- a/crates/core/tests/spool_load.rs
+++ b/crates/core/tests/spool_load.rs
@@ -7,6 +7,7 @@
 #[path = "spool/world.rs"]
 mod world;
 
+use ibisspool_core::spool::entry::WATCHED;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use world::{Fault, Job, MS, Plan, QUEUES, Seen, World};
@@ -37,6 +38,7 @@
     phases: Vec<(u64, u64, f64, Option<usize>)>,
     faults: Vec<(u64, Fault)>,
     late_orders: f64,
+    watched: usize,
     seconds: u64,
 }
 
@@ -104,6 +106,7 @@
         mutant: None,
         late_orders: load.late_orders,
         lost_answers: 0.0,
+        watched: load.watched,
         faults: load.faults.clone(),
         jobs,
         end: load.seconds * SECOND + 6 * SECOND,
@@ -138,7 +141,13 @@
 
 /// Plays a load with several seeds and returns the mean worth.
 fn report(name: &str, load: &Load) -> f64 {
-    let mut worth = 0.0;
+    report_with_messages(name, load).0
+}
+
+/// Plays a load with several seeds and returns the mean worth, and how many reports a second each
+/// entry gets.
+fn report_with_messages(name: &str, load: &Load) -> (f64, f64) {
+    let (mut worth, mut reports) = (0.0, 0.0);
     for seed in 1..=SEEDS {
         let (service, seen) = play(load, seed);
         let shares = |of: [f64; 3]| {
@@ -155,9 +164,11 @@
         );
         assert!(seen.violations.is_empty(), "{:?}", seen.violations);
         worth += service.worth / SEEDS as f64;
+        let seconds = (load.seconds + 6) * load.entries as u64 * SEEDS;
+        reports += seen.reports as f64 / seconds as f64;
     }
-    println!("{name:<28} mean worth {worth:.3}");
-    worth
+    println!("{name:<28} mean worth {worth:.3}, {reports:.0} reports/s an entry");
+    (worth, reports)
 }
 
 /// Servers of unlike speed, as run times against the usual.
@@ -173,6 +184,7 @@
         phases: vec![(0, 100, factor, None)],
         faults: Vec::new(),
         late_orders: 0.0,
+        watched: WATCHED,
         seconds: 8,
     }
 }
@@ -240,3 +252,41 @@
 
     assert!(worth >= 0.85, "worth {worth}");
 }
+
+/// Many servers and entries, each of which needs the room of a few servers at a time.
+fn large(factor: f64, watched: usize) -> Load {
+    Load {
+        servers: servers(90),
+        entries: 30,
+        watched,
+        seconds: 5,
+        ..steady(factor)
+    }
+}
+
+#[test]
+fn entries_of_a_large_deployment_get_few_reports_and_serve_as_well() {
+    /// Reports a second: 24 agents five times and 66 once, the ends of 115 tasks with as many signs
+    /// of life, and little else.
+    const MOST: f64 = 24.0 * 5.0 + 66.0 + 2.0 * 115.0 + 50.0;
+    let (worth_of_all, reports_of_all) = report_with_messages("90 servers, all", &large(0.6, 90));
+
+    let (worth, reports) = report_with_messages("90 servers, few", &large(0.6, WATCHED));
+
+    assert!(reports < MOST, "{reports} reports/s");
+    assert!(reports < reports_of_all * 0.75, "{reports} reports/s");
+    assert!(worth >= worth_of_all - 0.01, "worth {worth}");
+}
+
+#[test]
+fn a_burst_in_a_large_deployment_wakes_the_servers_it_needs() {
+    let burst = |watched| Load {
+        phases: vec![(0, 100, 0.6, None), (2, 4, 1.6, None)],
+        ..large(1.0, watched)
+    };
+    let worth_of_all = report("burst, 90 servers, all", &burst(90));
+
+    let worth = report("burst, 90 servers, few", &burst(WATCHED));
+
+    assert!(worth >= worth_of_all - 0.02, "worth {worth}");
+}
--- a/crates/core/tests/spool_random.rs
+++ b/crates/core/tests/spool_random.rs
@@ -10,6 +10,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use ibisspool_core::spool::entry::WATCHED;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use world::plan::distinct;
@@ -139,6 +140,8 @@
         mutant,
         late_orders,
         lost_answers,
+        // In every other run the agents rest in turn.
+        watched: if seed.is_multiple_of(2) { 1 } else { WATCHED },
         faults,
         jobs,
         end: 14_000 * MS,
--- a/crates/entry/src/spool/links.rs
+++ b/crates/entry/src/spool/links.rs
@@ -5,22 +5,21 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result, bail};
-use ibisspool_core::spool::entry::Peer;
+use ibisspool_core::spool::entry::{Peer, gossip_pause};
 use ibisspool_core::spool::message::{AgentHello, Caller, Gossip, Hello, Report, VERSION};
 use ibisspool_kernel::channel::{self, Receiver, Sender};
 use ibisspool_kernel::spool as common;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::timeout;
 
 use super::hub::Hub;
 
 /// A connection without a message for this long is given up: six reports of an idle agent.
 const SILENCE: Duration = Duration::from_millis(1_200);
 
-/// Time between two exchanges of entries: a change that the store does not tell one of them is
-/// known to all within the two seconds that a change may take.
-const GOSSIP: Duration = Duration::from_millis(400);
+/// As many times that for entries, whose exchanges may be as far apart, and for resting agents, which
+/// report once a second.
+const SELDOM: u32 = 2;
 
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -47,7 +46,7 @@
 
 async fn accept(hub: &Rc<Hub>, stream: TcpStream) -> Result<()> {
     let (sender, mut receiver) = channel::open(stream);
-    let hello: Hello = receive(&mut receiver).await?;
+    let hello: Hello = receive(&mut receiver, || false).await?;
     if hello.version != VERSION {
         bail!(
             "the peer speaks version {}, this entry {VERSION}",
@@ -60,14 +59,14 @@
     }
 }
 
-async fn receive<M>(receiver: &mut Receiver) -> Result<M>
+async fn receive<M, F>(receiver: &mut Receiver, is_seldom: F) -> Result<M>
 where
     M: serde::de::DeserializeOwned,
+    F: Fn() -> bool,
 {
-    let message = timeout(SILENCE, receiver.receive()).await;
-    message
-        .context("the peer was silent")??
-        .context("the peer closed the connection")
+    let goes_on = |silences| silences < SELDOM && is_seldom();
+    let message = receiver.receive_while(SILENCE, goes_on).await?;
+    message.context("the peer closed the connection")
 }
 
 async fn serve_agent(
@@ -78,7 +77,8 @@
 ) -> Result<()> {
     let link = hub.connect(agent, sender);
     let ended = loop {
-        match receive::<Report>(&mut receiver).await {
+        let rests = || hub.look(|entry| entry.rests(link));
+        match receive::<Report, _>(&mut receiver, rests).await {
             Ok(report) => hub.decide(|entry, now| entry.report(link, report, now)),
             Err(error) => break error,
         }
@@ -90,7 +90,7 @@
 async fn serve_entry(hub: &Rc<Hub>, sender: &Sender, mut receiver: Receiver) -> Result<()> {
     let mut peer = Peer::default();
     loop {
-        let heard: Gossip = receive(&mut receiver).await?;
+        let heard: Gossip = receive(&mut receiver, || true).await?;
         hub.hear(heard, &mut peer);
         sender.send(&hub.look(|entry| entry.tell(&mut peer)));
     }
@@ -132,7 +132,7 @@
     let mut peer = Peer::default();
     loop {
         sender.send(&hub.look(|entry| entry.tell(&mut peer)));
-        let heard: Gossip = receive(&mut receiver).await?;
+        let heard: Gossip = receive(&mut receiver, || false).await?;
         if !std::mem::replace(reached, true) {
             log::info!(
                 "links: Reached an entry. address={address} entry={}",
@@ -141,7 +141,8 @@
         }
         hub.hear(heard, &mut peer);
         if !hub.look(|entry| entry.is_ahead_of(&peer)) {
-            tokio::time::sleep(GOSSIP).await;
+            let others = hub.look(|entry| entry.members().len()) - 1;
+            tokio::time::sleep(gossip_pause(others)).await;
         }
     }
 }
--- a/crates/kernel/src/channel.rs
+++ b/crates/kernel/src/channel.rs
@@ -40,6 +40,9 @@
     /// The peer sent something else than a message.
     #[error("a message cannot be decoded: {0}; check that all processes run the same version")]
     Malformed(#[from] postcard::Error),
+    /// The peer sent nothing for too long.
+    #[error("the peer was silent; a new connection is opened")]
+    Silent,
 }
 
 /// Sends messages without waiting. Clones share the connection.
@@ -74,6 +77,32 @@
 }
 
 impl Receiver {
+    /// Waits for the next message; `None` if the peer has ended the connection. After each `silence`
+    /// without one, `goes_on` says whether to wait as long again, by the number of silences so far.
+    ///
+    /// # Errors
+    /// Fails if the connection breaks, a message is malformed, or the peer was silent for too long.
+    pub async fn receive_while<M, F>(
+        &mut self,
+        silence: Duration,
+        goes_on: F,
+    ) -> Result<Option<M>, Error>
+    where
+        M: DeserializeOwned,
+        F: Fn(u32) -> bool,
+    {
+        let mut silences = 0;
+        loop {
+            match tokio::time::timeout(silence, self.receive()).await {
+                Ok(received) => return received,
+                Err(_elapsed) => silences += 1,
+            }
+            if !goes_on(silences) {
+                return Err(Error::Silent);
+            }
+        }
+    }
+
     /// Waits for the next message; `None` if the peer has ended the connection.
     ///
     /// # Errors
