--- a/crates/core/src/spool/agent/report.rs
+++ b/crates/core/src/spool/agent/report.rs
@@ -187,7 +187,7 @@
 
     fn load(&self, now: Mono) -> Load {
         let waiting = || self.runs.values().filter(|run| run.phase == Phase::Queued);
-        let queued = waiting().map(|run| run.start.needs.cpu).sum();
+        let queued = waiting().fold(0, |sum: u32, run| sum.saturating_add(run.start.needs.cpu));
         let open = if self.is_open() && !self.is_stop_stuck(now) && self.strays.is_empty() {
             let most = self.health.open(self.started_runs(), now).min(MANY);
             most.saturating_sub(waiting().count() as u32)
--- a/crates/core/src/spool/entry/agents.rs
+++ b/crates/core/src/spool/entry/agents.rs
@@ -65,8 +65,11 @@
 
     /// Returns what waits there needs, with what was sent beyond its room.
     pub fn queued(&self) -> f64 {
-        let sent: u32 = self.pending.iter().map(|pending| pending.needs.cpu).sum();
-        f64::from(self.load.queued + sent.saturating_sub(self.load.free.cpu))
+        let sent = self
+            .pending
+            .iter()
+            .fold(0, |sum: u32, pending| sum.saturating_add(pending.needs.cpu));
+        f64::from(self.load.queued) + f64::from(sent.saturating_sub(self.load.free.cpu))
     }
 
     /// Counts a task that goes along with the next order.
--- a/crates/core/src/spool/entry/jobs.rs
+++ b/crates/core/src/spool/entry/jobs.rs
@@ -109,7 +109,7 @@
         let mut backlog = Backlog {
             priority: job.queue.priority,
             needed: needed
-                .map(|step| f64::from(step.needs.cpu * step.tasks))
+                .map(|step| f64::from(step.needs.cpu) * f64::from(step.tasks))
                 .sum(),
             run: self.estimates.mean_run().mul_f64(self.usual_pace),
             ..Backlog::default()
--- a/crates/core/tests/spool_entry.rs
+++ b/crates/core/tests/spool_entry.rs
@@ -245,6 +245,29 @@
     assert_eq!(cancels, [sent[1].1.ticket]);
 }
 
+#[test]
+fn tasks_larger_than_any_server_do_not_overflow_the_backlog() {
+    let mut entry = entry();
+    let huge = Step {
+        needs: Resources {
+            cpu: u32::MAX,
+            ..TASK
+        },
+        ..step(8, smallvec![])
+    };
+
+    let key = entry.submit(request(vec![huge]), queue(), at(10));
+    agent(&mut entry, "agent-1", 10, at(20));
+    entry.tick(at(1_900));
+    entry.tick(at(2_100));
+
+    assert!(
+        answers(&mut entry)
+            .iter()
+            .any(|(answered, _)| *answered == key)
+    );
+}
+
 #[test]
 fn a_job_without_room_in_time_is_refused_at_once() {
     let mut entry = entry();
