--- a/crates/core/src/spool/entry.rs
+++ b/crates/core/src/spool/entry.rs
@@ -10,6 +10,7 @@
 mod gossip;
 mod jobs;
 pub mod placement;
+mod policy;
 mod watch;
 
 use std::collections::{BTreeSet, HashMap};
@@ -31,6 +32,7 @@
 pub use admission::{Backlog, admit};
 pub use estimate::Estimates;
 pub use gossip::{Peer, gossip_pause};
+pub use policy::Policy;
 pub use watch::WATCHED;
 
 use agents::Agent;
@@ -165,6 +167,7 @@
     usual_pace: f64,
     /// Factor on the run time of a task away from its data.
     far: f64,
+    policy: Policy,
     /// Most agents of a service that report often without being in use.
     watched: usize,
     /// When it is next chosen which agents rest.
@@ -196,6 +199,7 @@
             estimates: Estimates::default(),
             usual_pace: 1.0,
             far: FAR,
+            policy: Policy::default(),
             watched: WATCHED,
             watch_due: Mono(0),
             random: SmallRng::seed_from_u64(seed),
@@ -213,6 +217,13 @@
         self
     }
 
+    /// Sets how agents are chosen and jobs taken on.
+    #[must_use]
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Sets how many agents of a service report often without being in use.
     #[must_use]
     pub fn with_watched(mut self, watched: usize) -> Self {
--- a/crates/core/src/spool/entry/dispatch.rs
+++ b/crates/core/src/spool/entry/dispatch.rs
@@ -10,7 +10,7 @@
 use super::super::message::{Server, Start, Ticket};
 use super::super::note::Note;
 use super::agents::Agent;
-use super::placement::{Candidate, Demand, judge, patience};
+use super::placement::{Candidate, Demand, patience};
 use super::{Entry, Job, LinkKey, Place, Task, TaskKey};
 use crate::time::{Mono, Now};
 
@@ -107,7 +107,7 @@
                 tried: task.tried.contains(&agent.number),
                 distance: self.distance(server, step),
             };
-            let Some(choice) = judge(&candidate, &demand) else {
+            let Some(choice) = (self.policy.judge)(&candidate, &demand) else {
                 continue;
             };
             let cost = choice.cost + wake + self.random.random::<f64>() * JITTER;
--- a/crates/core/src/spool/entry/jobs.rs
+++ b/crates/core/src/spool/entry/jobs.rs
@@ -7,9 +7,7 @@
 use super::super::message::{Server, Ticket};
 use super::super::note::Note;
 use super::dispatch::Rank;
-use super::{
-    Action, Answer, Backlog, Entry, Job, JobKey, LinkKey, Place, Refusal, Task, TaskKey, admit,
-};
+use super::{Action, Answer, Backlog, Entry, Job, JobKey, LinkKey, Place, Refusal, Task, TaskKey};
 use crate::time::{Mono, Now};
 
 /// A job that ends later than this many objectives is worth nothing to its caller.
@@ -77,7 +75,7 @@
         if backlog.capacity <= 0.0 {
             return await_first_server(now);
         }
-        admit(&backlog, slack).map_err(|retry_after| {
+        (self.policy.admit)(&backlog, slack).map_err(|retry_after| {
             let note = Note::new("Found no room in time.")
                 .with("job", self.jobs[key].id)
                 .with("needed_cpu", backlog.needed)
--- a/crates/core/tests/spool/callers.rs
+++ b/crates/core/tests/spool/callers.rs
@@ -131,9 +131,12 @@
             Some(Answer::Completed) => {
                 self.seen.completed += 1;
                 let objective = work * 16 / 10 + 60 * MS;
-                let tally = self.seen.tallies.entry(queue).or_default();
-                tally.in_time += u64::from(took <= objective);
-                tally.late += u64::from(took > objective && took <= 3 * objective);
+                let (came, owed) = (caller.first, caller.job.is_owed());
+                if owed && took <= objective {
+                    self.seen.count(queue, came, |tally| tally.in_time += 1);
+                } else if owed && took <= 3 * objective {
+                    self.seen.count(queue, came, |tally| tally.late += 1);
+                }
             }
             Some(Answer::Failed) => self.seen.failed += 1,
             Some(Answer::Refused { retry_after, .. }) => {
--- a/crates/core/tests/spool/faults.rs
+++ b/crates/core/tests/spool/faults.rs
@@ -7,11 +7,11 @@
 use ibisspool_core::spool::agent::Agent;
 use ibisspool_core::spool::entry::Entry;
 use ibisspool_core::spool::message::{AgentHello, Member};
-use ibisspool_core::time::{Mono, Now, Wall};
+use ibisspool_core::time::{Mono, Now};
 use ibisspool_standin::executor::Executor;
 use rand::Rng;
 
-use super::{EPOCH_MS, Event, Fault, MS, Message, Mutant, Process, World, catalogue};
+use super::{Event, Fault, MS, Message, Mutant, Process, World, catalogue};
 
 /// Time after which an agent gives up the connection to a silent entry.
 const GIVEN_UP: u64 = 1_200 * MS;
@@ -72,6 +72,13 @@
                 self.executors[index].slowness = usual * factor as f64;
                 self.after(time, Event::Restore(index, usual));
             }
+            Fault::Err(index, time) => {
+                self.erring.insert(index, self.now + time);
+            }
+            Fault::Hang(index, time) => {
+                self.hanging.insert(index, self.now + time);
+            }
+            Fault::Step(index, millis) => self.agents[index].stepped += millis,
             Fault::Drain(index) => {
                 self.agents[index].ready = false;
                 self.announce(index);
@@ -140,7 +147,7 @@
     pub(super) fn revive(&mut self, process: Process) {
         let now = Now {
             mono: Mono(self.now + 1),
-            wall: Wall(EPOCH_MS + self.now / 1_000),
+            wall: self.time_of_day(process),
         };
         match process {
             Process::Entry(index) => {
@@ -156,8 +163,9 @@
                     safety.stop_patience = Duration::from_millis(1);
                     safety.lease = Duration::from_millis(1);
                 }
-                let mut entry =
-                    Entry::new(me, safety, self.random.random()).with_watched(self.plan.watched);
+                let mut entry = Entry::new(me, safety, self.random.random())
+                    .with_watched(self.plan.watched)
+                    .with_policy(self.plan.policy);
                 entry.learn_members(&all);
                 entry.set_catalogue(Arc::new(catalogue()), "test", now);
                 let slot = &mut self.entries[index];
--- a/crates/core/tests/spool/plan.rs
+++ b/crates/core/tests/spool/plan.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, HashSet};
 
+use ibisspool_core::spool::entry::Policy;
+
 /// Deliberate mistakes that the checks must catch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mutant {
@@ -32,6 +34,9 @@
     pub late_orders: f64,
     /// Share of answers of backend servers that are lost.
     pub lost_answers: f64,
+    pub policy: Policy,
+    /// Share of the callers that come to the first entry, beside its usual part.
+    pub skew: f64,
     /// Agents that report often to an entry that does not use them.
     pub watched: usize,
     pub faults: Vec<(u64, Fault)>,
@@ -55,6 +60,13 @@
     pub fails: bool,
 }
 
+impl Job {
+    /// Returns whether it can be served and its caller waits for that.
+    pub fn is_owed(&self) -> bool {
+        !self.fails && self.patience >= self.budget
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
     KillEntry(usize, u64),
@@ -67,7 +79,13 @@
     Reborn(usize),
     /// Slows a backend server down by a factor for a time.
     Slow(usize, u64, u64),
+    /// All that runs on a backend server fails within a few milliseconds, for a time.
+    Err(usize, u64),
+    /// What is started on a backend server stands still for a time.
+    Hang(usize, u64),
     Drain(usize),
+    /// The time of day at an agent's VM jumps by milliseconds, ahead or back.
+    Step(usize, i64),
 }
 
 /// Jobs of one queue.
@@ -93,12 +111,31 @@
     pub reports: u64,
     /// By queue.
     pub(super) tallies: BTreeMap<usize, Tally>,
+    /// By queue and the second in which the job came.
+    pub(super) seconds: BTreeMap<(usize, u64), Tally>,
     /// Times until refusals.
     pub refused_after: Vec<u64>,
     pub violations: Vec<String>,
 }
 
 impl Seen {
+    /// Returns the jobs of a queue that came in a span of seconds.
+    pub fn tally_within(&self, queue: usize, seconds: std::ops::Range<u64>) -> Tally {
+        let within = self
+            .seconds
+            .range((queue, seconds.start)..(queue, seconds.end));
+        within.fold(Tally::default(), |sum, (_key, tally)| Tally {
+            asked: sum.asked + tally.asked,
+            in_time: sum.in_time + tally.in_time,
+            late: sum.late + tally.late,
+        })
+    }
+
+    pub(super) fn count(&mut self, queue: usize, came: u64, add: fn(&mut Tally)) {
+        add(self.tallies.entry(queue).or_default());
+        add(self.seconds.entry((queue, came / 1_000_000)).or_default());
+    }
+
     /// Returns the jobs of a queue.
     pub fn tally(&self, queue: usize) -> Tally {
         self.tallies.get(&queue).copied().unwrap_or_default()
--- a/crates/core/tests/spool/servers.rs
+++ b/crates/core/tests/spool/servers.rs
@@ -1,5 +1,6 @@
 //! Calls to backend servers, which may be carried out late or lose their answer.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use ibisspool_core::spool::agent::{self, StartAnswer};
@@ -9,6 +10,9 @@
 
 use super::{Call, DRAIN, Event, MS, Message, Process, World, incarnation_of};
 
+/// Time in which a task fails on a backend server that errs.
+const ERRS_WITHIN: u64 = 5 * MS;
+
 impl World {
     /// Sends an order to the backend server, which may carry it out late or lose its answer.
     pub(super) fn order(&mut self, agent: usize, call: Call) {
@@ -170,12 +174,20 @@
             return StartAnswer::Refused;
         };
         let job_of = self.callers[job].job;
+        let last = |spans: &BTreeMap<usize, u64>| spans.get(&index).copied().unwrap_or(0);
+        let errs = last(&self.erring) > self.now;
+        let stands = last(&self.hanging).saturating_sub(self.now);
         let executor = &mut self.executors[index];
+        let took = if errs {
+            ERRS_WITHIN
+        } else {
+            (job_of.work as f64 * executor.slowness) as u64
+        };
         let work = Work {
             name,
             began: self.now,
-            ends: self.now + (job_of.work as f64 * executor.slowness) as u64,
-            fails: job_of.fails,
+            ends: self.now + took + stands,
+            fails: job_of.fails || errs,
             stops: false,
             cpu: job_of.cpu,
         };
--- a/crates/core/tests/spool/world.rs
+++ b/crates/core/tests/spool/world.rs
@@ -59,6 +59,8 @@
     /// Holds that wait for an end.
     waiting: BTreeMap<u64, (u64, bool)>,
     ready: bool,
+    /// By how many milliseconds the time of day of its VM has jumped.
+    stepped: i64,
     /// When the agent acknowledged that the server drains.
     draining: Option<u64>,
     /// Whether a hold is always on its way.
@@ -103,6 +105,9 @@
     cuts: Vec<(usize, usize, u64, u64, bool, bool)>,
     callers: Vec<Caller>,
     work: BTreeMap<u64, usize>,
+    /// Until when each backend server errs, and until when what it starts stands still.
+    erring: BTreeMap<usize, u64>,
+    hanging: BTreeMap<usize, u64>,
     safety: Safety,
     holds: u64,
     traced: bool,
@@ -179,6 +184,8 @@
             cuts: Vec::new(),
             callers: Vec::new(),
             work: BTreeMap::new(),
+            erring: BTreeMap::new(),
+            hanging: BTreeMap::new(),
             safety,
             holds: 0,
             traced: std::env::var_os("IBISSPOOL_TRACE").is_some(),
@@ -213,6 +220,7 @@
                 sent: BTreeMap::new(),
                 waiting: BTreeMap::new(),
                 ready: true,
+                stepped: 0,
                 draining: None,
                 holding: false,
                 sequence: 0,
@@ -223,7 +231,9 @@
             self.at(at, Event::Fault(fault));
         }
         for (at, job) in self.plan.jobs.clone() {
-            self.seen.tallies.entry(job.queue).or_default().asked += 1;
+            if job.is_owed() {
+                self.seen.count(job.queue, at, |tally| tally.asked += 1);
+            }
             let index = self.callers.len();
             self.callers.push(Caller {
                 job,
@@ -234,7 +244,12 @@
                 refusals: 0,
                 started: false,
             });
-            let entry = self.random.random_range(0..self.plan.entries);
+            let skewed = self.plan.skew > 0.0 && self.random.random_bool(self.plan.skew);
+            let entry = if skewed {
+                0
+            } else {
+                self.random.random_range(0..self.plan.entries)
+            };
             self.at(
                 at,
                 Event::Submit {
@@ -288,10 +303,18 @@
         };
         Now {
             mono: Mono(self.now + 1 - lag),
-            wall: Wall(EPOCH_MS + self.now / 1_000),
+            wall: self.time_of_day(process),
         }
     }
 
+    fn time_of_day(&self, process: Process) -> Wall {
+        let stepped = match process {
+            Process::Agent(index) => self.agents[index].stepped,
+            Process::Entry(_) => 0,
+        };
+        Wall((EPOCH_MS + self.now / 1_000).saturating_add_signed(stepped))
+    }
+
     fn handle(&mut self, event: Event) {
         match event {
             Event::Tick => self.tick(),
--- a/crates/core/tests/spool_random.rs
+++ b/crates/core/tests/spool_random.rs
@@ -10,7 +10,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use ibisspool_core::spool::entry::WATCHED;
+use ibisspool_core::spool::entry::{Policy, WATCHED};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use world::plan::distinct;
@@ -66,6 +66,24 @@
     faults
 }
 
+/// Draws jumps of the time of day, each soon followed by a new start of the agent. What is drawn leaves
+/// the other faults of a seed as they are.
+fn steps(seed: u64, servers: usize) -> Vec<(u64, Fault)> {
+    let mut random = SmallRng::seed_from_u64(!seed);
+    let jumps = (0..random.random_range(1..4)).flat_map(|_| {
+        let server = random.random_range(0..servers);
+        let at = random.random_range(600..5_000) * MS;
+        let back = [50, 300][random.random_range(0..2)] * MS;
+        let jump = random.random_range(-6_000..6_000);
+        let start = at + random.random_range(0..200) * MS;
+        [
+            (at, Fault::Step(server, jump)),
+            (start, Fault::KillAgent(server, back)),
+        ]
+    });
+    jumps.collect()
+}
+
 /// Draws an entry that stands still just after a job came, while its caller leaves and asks another
 /// entry: what the entry finds when it goes on is out of date.
 fn absence(random: &mut SmallRng, entries: usize, jobs: &mut [(u64, Job)]) -> (u64, Fault) {
@@ -131,6 +149,9 @@
     if random.random_bool(0.2) {
         faults.push((random.random_range(600..4_000) * MS, Fault::Drain(0)));
     }
+    if seed.is_multiple_of(4) {
+        faults.append(&mut steps(seed, servers));
+    }
     let late_orders = if random.random_bool(0.5) { 0.15 } else { 0.0 };
     let lost_answers = if random.random_bool(0.3) { 0.1 } else { 0.0 };
     Plan {
@@ -140,6 +161,8 @@
         mutant,
         late_orders,
         lost_answers,
+        policy: Policy::default(),
+        skew: 0.0,
         // In every other run the agents rest in turn.
         watched: if seed.is_multiple_of(2) { 1 } else { WATCHED },
         faults,
