test(soak): the time of day of processes jumps ahead and back

A tool that runs itself as one of the binaries moves its time of day on two signals; the kernel's clock has one function for that. A clock before 1970 is logged at the start.

--- a/crates/kernel/src/clock.rs
+++ b/crates/kernel/src/clock.rs
@@ -1,5 +1,6 @@
 //! The clocks of a process, read at the edges only.
 
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use ibisspool_core::time::{Mono, Now, Wall};
@@ -14,6 +15,9 @@
 impl Clock {
     /// Makes a clock whose monotonic time starts now.
     pub fn new() -> Self {
+        if SystemTime::now() < UNIX_EPOCH {
+            log::warn!("clock: The time of day is before 1970. Set the VM's clock.");
+        }
         Self {
             origin: since_boot(),
         }
@@ -34,13 +38,24 @@
     }
 
     fn wall() -> Wall {
+        // Before 1970 counts as 1970: numbers made of it only rise, and too low ones are raised.
         let since = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
-        Wall(since.as_millis() as u64)
+        let millis = since.as_millis() as u64;
+        Wall(millis.saturating_add_signed(STEPPED_MS.load(Ordering::Relaxed)))
     }
 }
 
+/// By how many milliseconds the time of day of this process was moved.
+static STEPPED_MS: AtomicI64 = AtomicI64::new(0);
+
+/// Moves the time of day of this process, as somebody may set the clock of its VM. Stand-ins play that
+/// with it.
+pub fn step_time_of_day(millis: i64) {
+    STEPPED_MS.fetch_add(millis, Ordering::Relaxed);
+}
+
 /// Returns the time since the VM started, with the time that it was suspended.
 ///
 /// # Panics
--- a/crates/standin/src/children.rs
+++ b/crates/standin/src/children.rs
@@ -8,6 +8,9 @@
 use std::process::{Child, Command, Stdio};
 
 use anyhow::{Context, Result};
+use ibisspool_kernel::clock::step_time_of_day;
+use signal_hook::consts::{SIGUSR1, SIGUSR2};
+use signal_hook::iterator::Signals;
 
 /// First argument with which a tool runs itself again as one of the binaries.
 const AS_BINARY: &str = "as-binary";
@@ -19,6 +22,9 @@
 const USER_TICKS: usize = 11;
 const SYSTEM_TICKS: usize = 12;
 
+/// Milliseconds by which a signal moves a process's time of day; more than a lease and a resubmission.
+const STEP_MS: i64 = 4_000;
+
 /// Runs a binary if this process was started as one; returns its exit code.
 pub fn run_as_binary() -> Option<i32> {
     let mut args = std::env::args_os().skip(1);
@@ -26,12 +32,27 @@
         return None;
     }
     let args: Vec<OsString> = args.collect();
+    if let Err(error) = step_clock_on_signals() {
+        eprintln!("children: the clock cannot be stepped: {error}");
+    }
     match args.first()?.to_str()? {
         "ibisspool" => Some(ibisspool::cli::run(args)),
         _ => Some(ibisspool_agent::cli::run(args)),
     }
 }
 
+/// Moves the process's time of day ahead on SIGUSR1 and back on SIGUSR2.
+fn step_clock_on_signals() -> std::io::Result<()> {
+    let mut signals = Signals::new([SIGUSR1, SIGUSR2])?;
+    std::thread::spawn(move || {
+        for signal in signals.forever() {
+            let step = if signal == SIGUSR1 { STEP_MS } else { -STEP_MS };
+            step_time_of_day(step);
+        }
+    });
+    Ok(())
+}
+
 /// A running binary; it is killed when this is dropped.
 #[derive(Debug)]
 pub struct Process {
