fix(agent): a refused connection says nothing of what was started since, or of a server that holds others

The refusal can wait in the event loop while a new process of the server announces itself and gets starts, and a server that is alive can refuse a connection for want of room. Either way tasks would run twice, and over capacity.

Change: a refusal ends only what was started before the call was made, and counts as "nobody listens" only if no connection to the server is left.

--- a/crates/agent/src/spool/hub.rs
+++ b/crates/agent/src/spool/hub.rs
@@ -191,7 +191,7 @@
             Err(error) => {
                 self.note_silence();
                 let refused = error == HoldError::Refused;
-                self.decide(|agent, now| agent.hold_failed(refused, now));
+                self.decide(|agent, now| agent.hold_failed(refused, asked, now));
                 false
             }
         }
--- a/crates/core/src/spool/agent/backend.rs
+++ b/crates/core/src/spool/agent/backend.rs
@@ -150,7 +150,7 @@
             .with("cpu", announcement.capacity.cpu);
         self.note(note);
         if self.backend.is_some() {
-            self.lose_started(now);
+            self.lose_started(|_started| true, now);
             self.fence_incarnation();
         }
         self.strays.clear();
@@ -187,9 +187,16 @@
         }
     }
 
-    /// Ends everything that the server may have run: it certainly runs no more.
-    pub(super) fn lose_started(&mut self, now: Now) {
-        let keys: Vec<RunKey> = self.by_number.values().copied().collect();
+    /// Ends what the server may have run of the starts sent at the times named: it certainly runs no
+    /// more.
+    pub(super) fn lose_started<F>(&mut self, is_gone: F, now: Now)
+    where
+        F: Fn(Mono) -> bool,
+    {
+        let started = self.by_number.values().copied();
+        let keys: Vec<RunKey> = started
+            .filter(|key| is_gone(self.runs[*key].started))
+            .collect();
         for key in keys {
             self.finish(key, End::Lost, now);
         }
@@ -243,7 +250,7 @@
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
-        let name = run.start.name;
+        let (name, sent) = (run.start.name, run.started);
         if run.phase == Phase::Stopping {
             // The stop has overtaken this answer and decides.
             return;
@@ -257,8 +264,8 @@
             }
             StartAnswer::Fenced => self.raise_token(),
             StartAnswer::Refused => {}
-            StartAnswer::Absent => self.fail_contact(true, now),
-            StartAnswer::NotSent => self.fail_contact(false, now),
+            StartAnswer::Absent => self.fail_contact(Some(sent), now),
+            StartAnswer::NotSent => self.fail_contact(None, now),
             StartAnswer::Silent => {
                 if run.phase == Phase::Starting {
                     self.enter(key, Phase::Unsure, now.mono);
@@ -287,29 +294,33 @@
         self.note(note);
     }
 
-    /// Notes that a hold got no answer; `refused` if nobody listens at the address.
-    pub fn hold_failed(&mut self, refused: bool, now: Now) {
+    /// Notes that a hold asked for at `asked` got no answer; `refused` if nobody listens at the
+    /// address.
+    pub fn hold_failed(&mut self, refused: bool, asked: Mono, now: Now) {
         self.expire(now);
-        self.fail_contact(refused, now);
+        self.fail_contact(refused.then_some(asked), now);
         self.report_due(now.mono);
     }
 
-    fn fail_contact(&mut self, refused: bool, now: Now) {
+    /// Notes a call without an answer, with its time if nobody listened at the address: then no
+    /// process is left that could run what was started before. What was started since may be with a
+    /// new process; the refusal can have waited while this one announced itself.
+    fn fail_contact(&mut self, refused: Option<Mono>, now: Now) {
         let Some(backend) = self.backend.as_mut() else {
             return;
         };
         backend.failures += 1;
         if backend.failures >= FAILURES && !backend.down {
             backend.down = true;
-            let note = Note::warn("The backend server does not answer.").with("refused", refused);
+            let note = Note::warn("The backend server does not answer.")
+                .with("refused", refused.is_some());
             self.note(note);
             self.decline_queued(now);
             self.report_all(now.mono);
         }
-        if refused {
-            // No process listens there, so none runs anything.
-            self.lose_started(now);
-            self.strays.clear();
+        if let Some(asked) = refused {
+            self.lose_started(|started| started < asked, now);
+            self.strays.retain(|stray| stray.since >= asked);
         }
     }
 
@@ -321,7 +332,7 @@
         let lapsed = now.mono.since(sent) > self.safety.longest_lease();
         if lapsed && self.started_runs() > 0 {
             self.note(Note::warn("The lease at the backend server lapsed."));
-            self.lose_started(now);
+            self.lose_started(|_started| true, now);
         }
     }
 }
--- a/crates/core/src/spool/agent/lists.rs
+++ b/crates/core/src/spool/agent/lists.rs
@@ -61,7 +61,7 @@
             backend.acknowledged = 0;
             backend.clock = None;
             self.strays.clear();
-            self.lose_started(now);
+            self.lose_started(|_started| true, now);
             self.fence_incarnation();
             self.note(Note::warn("The backend server started again.").with("born", listing.born));
         }
--- a/crates/kernel/src/web/client.rs
+++ b/crates/kernel/src/web/client.rs
@@ -1,8 +1,9 @@
 //! An HTTP/1.1 client for one address.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,7 +26,7 @@
 /// Why a call got no answer.
 #[derive(Debug, Error)]
 pub enum Error {
-    /// Nobody listens at the address.
+    /// Nobody listens at the address, and no connection to it is left.
     #[error("nobody listens at {0}; check that the server runs")]
     Refused(SocketAddr),
     /// No connection could be made; the call was not sent.
@@ -50,6 +51,8 @@
 pub struct Client {
     address: SocketAddr,
     idle: RefCell<Vec<SendRequest<Full<Bytes>>>>,
+    /// Connections that the server has not ended.
+    open: Rc<Cell<usize>>,
 }
 
 impl Client {
@@ -58,6 +61,7 @@
         Self {
             address,
             idle: RefCell::default(),
+            open: Rc::default(),
         }
     }
 
@@ -134,7 +138,10 @@
         }
         let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            // A server that holds connections of ours is there and only takes no more.
+            Ok(Err(error))
+                if error.kind() == ErrorKind::ConnectionRefused && self.open.get() == 0 =>
+            {
                 return Err(Error::Refused(self.address));
             }
             Ok(Err(_)) | Err(_) => return Err(Error::Unreachable(self.address)),
@@ -147,10 +154,13 @@
             log::debug!("http: A new connection ended. error={error}");
             Error::Unreachable(self.address)
         })?;
+        let open = Rc::clone(&self.open);
+        open.set(open.get() + 1);
         spawn_local(async move {
             if let Err(error) = connection.await {
                 log::debug!("http: A connection ended. error={error}");
             }
+            open.set(open.get() - 1);
         });
         Ok(sender)
     }
--- a/crates/kernel/tests/web.rs
+++ b/crates/kernel/tests/web.rs
@@ -1,4 +1,5 @@
-//! The HTTP server against callers that left while the process stood still.
+//! The HTTP server against callers that left while the process stood still, and the client against
+//! servers that take no connection.
 
 use std::cell::Cell;
 use std::io::Write;
@@ -6,9 +7,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::StatusCode;
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
 use ibisspool_kernel::spool::{OWN_LIMITS, block_on};
-use ibisspool_kernel::web::{self, Reply};
+use ibisspool_kernel::web::{self, Client, Error, Reply};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
@@ -47,3 +49,40 @@
 
     assert_eq!(started.get(), 0);
 }
+
+const PATIENCE: Duration = Duration::from_millis(500);
+
+async fn ask(client: &Client) -> Result<web::Response, Error> {
+    let call = client.call(Method::GET, "/", HeaderMap::new(), Bytes::new(), PATIENCE);
+    call.await
+}
+
+/// Returns what a call finds whose connection is refused, while another call waits at the server.
+async fn refused_beside_a_waiting_call(server_lives: bool) -> anyhow::Result<Error> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let client = Rc::new(Client::new(address));
+    let waiting = Rc::clone(&client);
+    spawn_local(async move {
+        let _answer = ask(&waiting).await;
+    });
+    let (held, _from) = listener.accept().await?;
+    drop(listener);
+    if !server_lives {
+        drop(held);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        return Ok(ask(&client).await.expect_err("nobody listens"));
+    }
+    let refused = ask(&client).await.expect_err("nobody listens");
+    drop(held);
+    Ok(refused)
+}
+
+#[test]
+fn a_refused_connection_to_a_server_that_holds_another_one_does_not_say_that_it_is_gone() {
+    let busy = block_on(refused_beside_a_waiting_call(true)).expect("the calls are made");
+    let gone = block_on(refused_beside_a_waiting_call(false)).expect("the calls are made");
+
+    assert!(matches!(busy, Error::Unreachable(_)), "{busy}");
+    assert!(matches!(gone, Error::Refused(_)), "{gone}");
+}
