--- a/crates/core/tests/spool/connections.rs
+++ b/crates/core/tests/spool/connections.rs
@@ -160,8 +160,8 @@
                     agent.listing(&listing, Mono(asked), now);
                 });
             }
-            Message::HoldFailed(asked) => self.agent(index, |agent, now| {
-                agent.hold_failed(false, Mono(asked), now);
+            Message::HoldFailed(asked, refused) => self.agent(index, |agent, now| {
+                agent.hold_failed(refused, Mono(asked), now);
             }),
             Message::Report(..) | Message::Connected(_) => {}
         }
--- a/crates/core/tests/spool/event.rs
+++ b/crates/core/tests/spool/event.rs
@@ -85,8 +85,8 @@
     StartAnswer(agent::RunKey, StartAnswer),
     StopAnswer(u64),
     Listing(Listing, u64),
-    /// With the time at which it was asked for.
-    HoldFailed(u64),
+    /// With the time at which it was asked for, and whether nobody listened.
+    HoldFailed(u64, bool),
 }
 
 #[derive(Debug, Clone)]
--- a/crates/core/tests/spool/faults.rs
+++ b/crates/core/tests/spool/faults.rs
@@ -67,6 +67,11 @@
                 self.agents[index].sequence = 0;
                 self.announce(index);
             }
+            Fault::Crash(index, time) => {
+                self.executors[index].running.clear();
+                self.dark.insert(index, self.now + time);
+                self.after(time, Event::Fault(Fault::Reborn(index)));
+            }
             Fault::Slow(index, factor, time) => {
                 let usual = self.executors[index].slowness;
                 self.executors[index].slowness = usual * factor as f64;
@@ -295,7 +300,7 @@
                 Message::StartAnswer(..)
                 | Message::StopAnswer(_)
                 | Message::Listing(..)
-                | Message::HoldFailed(_) => Self::Alone,
+                | Message::HoldFailed(..) => Self::Alone,
             },
             _ => Self::Alone,
         }
--- a/crates/core/tests/spool/plan.rs
+++ b/crates/core/tests/spool/plan.rs
@@ -77,6 +77,8 @@
     Cut(usize, usize, u64, bool, bool),
     Reset(usize, usize),
     Reborn(usize),
+    /// A backend server ends, nobody listens for a time, then it starts again.
+    Crash(usize, u64),
     /// Slows a backend server down by a factor for a time.
     Slow(usize, u64, u64),
     /// All that runs on a backend server fails within a few milliseconds, for a time.
--- a/crates/core/tests/spool/servers.rs
+++ b/crates/core/tests/spool/servers.rs
@@ -17,6 +17,10 @@
     /// Sends an order to the backend server, which may carry it out late or lose its answer.
     pub(super) fn order(&mut self, agent: usize, call: Call) {
         let boot = self.agents[agent].boot;
+        if self.is_dark(agent) {
+            self.refuse(agent, boot, &call);
+            return;
+        }
         let late = self.random.random_bool(self.plan.late_orders);
         let lost = self.random.random_bool(self.plan.lost_answers);
         let delay = if late {
@@ -31,7 +35,10 @@
             let message = match &call {
                 Call::Start { key, .. } => Some(Message::StartAnswer(*key, StartAnswer::Silent)),
                 Call::Stop { .. } => None,
-                Call::Hold { .. } => Some(Message::HoldFailed(self.now)),
+                Call::Hold { .. } => Some(Message::HoldFailed(
+                    self.clock(Process::Agent(agent)).mono.0,
+                    false,
+                )),
             };
             let to = Process::Agent(agent);
             if let Some(message) = message {
@@ -55,6 +62,31 @@
         );
     }
 
+    fn is_dark(&self, agent: usize) -> bool {
+        self.dark.get(&agent).is_some_and(|until| *until > self.now)
+    }
+
+    /// Refuses the connection of a call. The agent may look at that after other things that came later.
+    fn refuse(&mut self, agent: usize, boot: u64, call: &Call) {
+        let asked = self.clock(Process::Agent(agent)).mono.0;
+        let message = match call {
+            Call::Start { key, .. } => Some(Message::StartAnswer(*key, StartAnswer::Absent)),
+            Call::Stop { .. } => None,
+            Call::Hold { .. } => Some(Message::HoldFailed(asked, true)),
+        };
+        let to = Process::Agent(agent);
+        let delay = [100, 2_000, 20_000][self.random.random_range(0..3)];
+        if let Some(message) = message {
+            self.after(delay, Event::Deliver { to, boot, message });
+        }
+        if let Call::Hold { probe, id, .. } = call {
+            self.agents[agent].waiting.remove(id);
+            if !probe {
+                self.after(delay + 10 * MS, Event::NextHold { agent, boot });
+            }
+        }
+    }
+
     pub(super) fn hold(&mut self, index: usize, probe: bool) {
         let Some(Some(mut hold)) = self.with_agent(index, agent::Agent::next_hold) else {
             return;
@@ -70,6 +102,12 @@
     }
 
     pub(super) fn call(&mut self, index: usize, boot: u64, call: Call, answered: bool) {
+        if self.is_dark(index) {
+            if answered {
+                self.refuse(index, boot, &call);
+            }
+            return;
+        }
         let to = Process::Agent(index);
         let back = self.random.random_range(100..300);
         let message = match call {
--- a/crates/core/tests/spool/world.rs
+++ b/crates/core/tests/spool/world.rs
@@ -108,6 +108,8 @@
     /// Until when each backend server errs, and until when what it starts stands still.
     erring: BTreeMap<usize, u64>,
     hanging: BTreeMap<usize, u64>,
+    /// Until when nobody listens at each backend server's address.
+    dark: BTreeMap<usize, u64>,
     safety: Safety,
     holds: u64,
     traced: bool,
@@ -186,6 +188,7 @@
             work: BTreeMap::new(),
             erring: BTreeMap::new(),
             hanging: BTreeMap::new(),
+            dark: BTreeMap::new(),
             safety,
             holds: 0,
             traced: std::env::var_os("IBISSPOOL_TRACE").is_some(),
--- a/crates/core/tests/spool_random.rs
+++ b/crates/core/tests/spool_random.rs
@@ -84,6 +84,20 @@
     jumps.collect()
 }
 
+/// Draws backend servers that end and start again; what is drawn leaves the other faults as they are.
+fn crashes(seed: u64, servers: usize) -> Vec<(u64, Fault)> {
+    let mut random = SmallRng::seed_from_u64(!seed);
+    let crashes = (0..random.random_range(1..5)).map(|_| {
+        let server = random.random_range(0..servers);
+        let dark = [5, 60, 400][random.random_range(0..3)] * MS;
+        (
+            random.random_range(600..6_000) * MS,
+            Fault::Crash(server, dark),
+        )
+    });
+    crashes.collect()
+}
+
 /// Draws an entry that stands still just after a job came, while its caller leaves and asks another
 /// entry: what the entry finds when it goes on is out of date.
 fn absence(random: &mut SmallRng, entries: usize, jobs: &mut [(u64, Job)]) -> (u64, Fault) {
@@ -151,6 +165,8 @@
     }
     if seed.is_multiple_of(4) {
         faults.append(&mut steps(seed, servers));
+    } else if seed.is_multiple_of(2) {
+        faults.append(&mut crashes(seed, servers));
     }
     let late_orders = if random.random_bool(0.5) { 0.15 } else { 0.0 };
     let lost_answers = if random.random_bool(0.3) { 0.1 } else { 0.0 };
