--- a/crates/core/src/spool/agent/lists.rs
+++ b/crates/core/src/spool/agent/lists.rs
@@ -220,7 +220,15 @@
                     now,
                 );
             }
-            Phase::Running if asked > run.since => self.finish(key, End::Lost, now),
+            Phase::Running if asked > run.since => {
+                let note = Note::warn("A list no longer shows a run.")
+                    .with("job", run.start.name)
+                    .with("run", run.number)
+                    .with("known_us", now.mono.since(run.since).as_micros())
+                    .with("asked_us", now.mono.since(asked).as_micros());
+                self.note(note);
+                self.finish(key, End::Lost, now);
+            }
             Phase::Queued | Phase::Starting | Phase::Unsure | Phase::Running => {}
             Phase::Stopping => {
                 if run.stopped.is_some_and(|at| asked > at) {
