refactor(spool): one way to receive, to reach an agent and to tell of entries

- The entry's and the agent's loops waited for messages by two copies of the same bounds: both call `kernel::spool::receive`.
- Placement and the choice of who rests asked apart whether an agent's server takes tasks and can be had: both call `Entry::reach`.
- A report takes the load that its round has computed, instead of computing it again for each entry.
- Without late tasks nothing is looked through for hopeless jobs, at each event of an entry.
- An order takes the untold entries from the list itself; a sum of needs is a plain sum.

--- a/crates/agent/src/spool/links.rs
+++ b/crates/agent/src/spool/links.rs
@@ -14,12 +14,6 @@
 
 use super::hub::Hub;
 
-/// An entry without a message for this long is given up: it answers each third report.
-const SILENCE: Duration = Duration::from_millis(1_200);
-
-/// As many times that for an entry that needs few reports, which it answers once a second.
-const SELDOM: u32 = 2;
-
 /// Time after which an agent that knows few entries asks the store for them.
 const ASK_STORE: Duration = Duration::from_secs(1);
 
@@ -87,14 +81,12 @@
     });
     let link = hub.connect(&address.to_string(), sender);
     let ended = loop {
-        let goes_on = |silences| silences < SELDOM && hub.rests(link);
-        match receiver.receive_while::<Order, _>(SILENCE, goes_on).await {
-            Ok(Some(mut order)) => {
+        match common::receive::<Order, _>(&mut receiver, || hub.rests(link)).await {
+            Ok(mut order) => {
                 hub.learn_members(std::mem::take(&mut order.members));
                 hub.decide(|agent, now| agent.order(link, order, now));
             }
-            Ok(None) => break anyhow::anyhow!("the entry closed the connection"),
-            Err(error) => break error.into(),
+            Err(error) => break error,
         }
     };
     hub.disconnect(link);
--- a/crates/core/src/spool/agent/report.rs
+++ b/crates/core/src/spool/agent/report.rs
@@ -59,7 +59,7 @@
             last_load: Load::default(),
             rests: false,
         });
-        self.report(key, now.mono);
+        self.report(key, self.load(now.mono), now.mono);
         key
     }
 
@@ -136,9 +136,9 @@
                 (waited(IDLE_REPORT), news && waited(pause))
             };
             let renew = self.needs_renewal(key, now)
-                && age.is_none_or(|age| age >= self.safety.silence.mul_f64(RENEW_PART / 2.0));
+                && waited(self.safety.silence.mul_f64(RENEW_PART / 2.0));
             if idle || changed || renew || !link.outcomes.is_empty() {
-                self.report(key, now);
+                self.report(key, load, now);
             }
         }
         if let Some(due) = next {
@@ -164,7 +164,7 @@
             let woken = link.rests && !rest;
             link.rests = rest;
             if woken {
-                self.report(key, now);
+                self.report(key, self.load(now), now);
             }
         }
     }
@@ -203,8 +203,7 @@
         }
     }
 
-    fn report(&mut self, key: LinkKey, now: Mono) {
-        let load = self.load(now);
+    fn report(&mut self, key: LinkKey, load: Load, now: Mono) {
         let server = self.backend.as_ref().map(|backend| Server {
             ready: self.is_open(),
             ..backend.server()
--- a/crates/core/src/spool/entry/agents.rs
+++ b/crates/core/src/spool/entry/agents.rs
@@ -9,6 +9,7 @@
 };
 use super::super::note::Note;
 use super::estimate::usual_pace;
+use super::gossip::untold;
 use super::watch::Watch;
 use super::{Action, Entry, LinkKey, Place, TaskKey};
 use crate::rendezvous::weight;
@@ -65,11 +66,12 @@
 
     /// Returns what waits there needs, with what was sent beyond its room.
     pub fn queued(&self) -> f64 {
-        let sent = self
+        let sent: f64 = self
             .pending
             .iter()
-            .fold(0, |sum: u32, pending| sum.saturating_add(pending.needs.cpu));
-        f64::from(self.load.queued) + f64::from(sent.saturating_sub(self.load.free.cpu))
+            .map(|pending| f64::from(pending.needs.cpu))
+            .sum();
+        f64::from(self.load.queued) + (sent - f64::from(self.load.free.cpu)).max(0.0)
     }
 
     /// Counts a task that goes along with the next order.
@@ -283,13 +285,6 @@
         agent.stamp.is_some() && now.since(agent.heard) < bound
     }
 
-    /// Returns whether the data centre of an agent is out of service.
-    pub(super) fn is_out_of_service(&self, agent: &Agent) -> bool {
-        self.catalogue
-            .as_ref()
-            .is_some_and(|known| known.out_of_service.contains(&agent.data_centre))
-    }
-
     /// Returns whether an agent rests, so that its connection may be silent for longer.
     pub fn rests(&self, link: LinkKey) -> bool {
         self.agents.get(link).is_some_and(Agent::rests)
@@ -334,12 +329,9 @@
 
     /// Sends an order, with whatever else the agent has to know.
     pub(super) fn send(&mut self, link: LinkKey, starts: Vec<Start>, cancels: Vec<Ticket>) {
-        let Some(mut told) = self.agents.get(link).map(|agent| agent.members_told) else {
+        let Some(agent) = self.agents.get_mut(link) else {
             return;
         };
-        let members = self.members_after(&mut told);
-        let agent = &mut self.agents[link];
-        agent.members_told = told;
         agent.sequence += 1;
         let sequence = agent.sequence;
         agent.sent = agent.sent.saturating_sub(cancels.len());
@@ -357,7 +349,7 @@
             starts,
             cancels,
             out_of_service,
-            members,
+            members: untold(&self.members, &mut agent.members_told),
             rest: agent.rests(),
         };
         self.actions.push(Action::Order(link, order));
--- a/crates/core/src/spool/entry/dispatch.rs
+++ b/crates/core/src/spool/entry/dispatch.rs
@@ -121,13 +121,10 @@
     /// Returns the server of an agent if tasks of the job may go there now, and the extra cost if
     /// the agent has to be woken.
     fn usable<'a>(&self, agent: &'a Agent, job: &Job, now: Mono) -> Option<(&'a Server, f64)> {
-        let server = agent.server.as_ref()?;
-        let usable = server.ready
-            && server.service == job.queue.service
-            && !self.is_out_of_service(agent)
-            && agent.open() > 0;
-        let wake = self.wake_cost(agent, now)?;
-        usable.then_some((server, wake))
+        let suits = |(server, _wake): &(&Server, f64)| {
+            server.service == job.queue.service && agent.open() > 0
+        };
+        self.reach(agent, now).filter(suits)
     }
 
     /// Returns the factor on the run time of a task whose data may be elsewhere.
--- a/crates/core/src/spool/entry/gossip.rs
+++ b/crates/core/src/spool/entry/gossip.rs
@@ -58,7 +58,7 @@
     pub fn ask(&self, peer: &mut Peer) -> Gossip {
         Gossip {
             from: self.members[0].clone(),
-            members: self.members_after(&mut peer.members_told),
+            members: untold(&self.members, &mut peer.members_told),
             version: self.catalogue.as_ref().map_or(0, |known| known.version),
             catalogue: None,
         }
@@ -73,11 +73,11 @@
             ..self.ask(peer)
         }
     }
+}
 
-    /// Returns the entries learnt since the first `told`, which then are told as well.
-    pub(super) fn members_after(&self, told: &mut usize) -> Vec<Member> {
-        let news = self.members[*told..].to_vec();
-        *told = self.members.len();
-        news
-    }
+/// Returns the entries after the first `told`, which then are told as well.
+pub(super) fn untold(members: &[Member], told: &mut usize) -> Vec<Member> {
+    let news = members[*told..].to_vec();
+    *told = members.len();
+    news
 }
--- a/crates/core/src/spool/entry/jobs.rs
+++ b/crates/core/src/spool/entry/jobs.rs
@@ -248,6 +248,10 @@
 
     /// Gives up the jobs with a task that waits and cannot end in useful time on any server.
     fn give_up_hopeless(&mut self, now: Mono) {
+        // Late tasks come last.
+        if self.waiting.last().is_none_or(|(rank, _key)| !rank.late) {
+            return;
+        }
         let paces = self.agents.values().map(|agent| f64::from(agent.load.pace));
         let fastest = paces.fold(self.usual_pace, f64::min);
         let hopeless: Vec<JobKey> = self
--- a/crates/core/src/spool/entry/watch.rs
+++ b/crates/core/src/spool/entry/watch.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::super::message::Server;
 use super::super::note::Note;
 use super::agents::Agent;
 use super::{Entry, LinkKey};
@@ -34,7 +35,7 @@
 
 /// Cost of waking an agent in seconds, added to that of a task there: the answer takes 2 to 4 ms, and
 /// a room known from an old report may be gone.
-pub(super) const WAKE: f64 = 0.010;
+const WAKE: f64 = 0.010;
 
 /// How often an agent reports to us.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -68,12 +69,20 @@
 }
 
 impl Entry {
-    /// Returns the extra cost of a task at an agent, `None` if it cannot be had in time.
-    pub(super) fn wake_cost(&self, agent: &Agent, now: Mono) -> Option<f64> {
-        if self.is_fresh(agent, now) {
-            Some(0.0)
+    /// Returns the server of an agent that takes tasks, and the extra cost of one there if the agent
+    /// has to be woken; `None` if it cannot be had in time.
+    pub(super) fn reach<'a>(&self, agent: &'a Agent, now: Mono) -> Option<(&'a Server, f64)> {
+        let server = agent.server.as_ref().filter(|server| server.ready)?;
+        let out_of_service = self
+            .catalogue
+            .as_ref()
+            .is_some_and(|known| known.out_of_service.contains(&agent.data_centre));
+        if out_of_service {
+            None
+        } else if self.is_fresh(agent, now) {
+            Some((server, 0.0))
         } else {
-            agent.is_within_reach(now).then_some(WAKE)
+            agent.is_within_reach(now).then_some((server, WAKE))
         }
     }
 
@@ -104,10 +113,8 @@
             .agents
             .iter()
             .filter_map(|(link, agent)| {
-                let server = agent.server.as_ref().filter(|server| server.ready)?;
-                let known = self.is_fresh(agent, now) || agent.is_within_reach(now);
-                let usable = known && !self.is_out_of_service(agent);
-                usable.then(|| (Arc::clone(&server.service), agent.rank, link))
+                let (server, _wake) = self.reach(agent, now)?;
+                Some((Arc::clone(&server.service), agent.rank, link))
             })
             .collect();
         serving.sort_unstable();
--- a/crates/entry/src/spool/links.rs
+++ b/crates/entry/src/spool/links.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use anyhow::{Context, Result, bail};
+use anyhow::{Result, bail};
 use ibisspool_core::spool::entry::{Peer, gossip_pause};
 use ibisspool_core::spool::message::{AgentHello, Caller, Gossip, Hello, Report, VERSION};
 use ibisspool_kernel::channel::{self, Receiver, Sender};
@@ -14,13 +14,6 @@
 
 use super::hub::Hub;
 
-/// A connection without a message for this long is given up: six reports of an idle agent.
-const SILENCE: Duration = Duration::from_millis(1_200);
-
-/// As many times that for entries, whose exchanges may be as far apart, and for resting agents, which
-/// report once a second.
-const SELDOM: u32 = 2;
-
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -46,7 +39,7 @@
 
 async fn accept(hub: &Rc<Hub>, stream: TcpStream) -> Result<()> {
     let (sender, mut receiver) = channel::open(stream);
-    let hello: Hello = receive(&mut receiver, || false).await?;
+    let hello: Hello = common::receive(&mut receiver, || false).await?;
     if hello.version != VERSION {
         bail!(
             "the peer speaks version {}, this entry {VERSION}",
@@ -59,16 +52,6 @@
     }
 }
 
-async fn receive<M, F>(receiver: &mut Receiver, is_seldom: F) -> Result<M>
-where
-    M: serde::de::DeserializeOwned,
-    F: Fn() -> bool,
-{
-    let goes_on = |silences| silences < SELDOM && is_seldom();
-    let message = receiver.receive_while(SILENCE, goes_on).await?;
-    message.context("the peer closed the connection")
-}
-
 async fn serve_agent(
     hub: &Rc<Hub>,
     agent: AgentHello,
@@ -78,7 +61,7 @@
     let link = hub.connect(agent, sender);
     let ended = loop {
         let rests = || hub.look(|entry| entry.rests(link));
-        match receive::<Report, _>(&mut receiver, rests).await {
+        match common::receive::<Report, _>(&mut receiver, rests).await {
             Ok(report) => hub.decide(|entry, now| entry.report(link, report, now)),
             Err(error) => break error,
         }
@@ -90,7 +73,7 @@
 async fn serve_entry(hub: &Rc<Hub>, sender: &Sender, mut receiver: Receiver) -> Result<()> {
     let mut peer = Peer::default();
     loop {
-        let heard: Gossip = receive(&mut receiver, || true).await?;
+        let heard: Gossip = common::receive(&mut receiver, || true).await?;
         hub.hear(heard, &mut peer);
         sender.send(&hub.look(|entry| entry.tell(&mut peer)));
     }
@@ -132,7 +115,7 @@
     let mut peer = Peer::default();
     loop {
         sender.send(&hub.look(|entry| entry.ask(&mut peer)));
-        let heard: Gossip = receive(&mut receiver, || false).await?;
+        let heard: Gossip = common::receive(&mut receiver, || false).await?;
         if !std::mem::replace(reached, true) {
             log::info!(
                 "links: Reached an entry. address={address} entry={}",
--- a/crates/kernel/src/spool.rs
+++ b/crates/kernel/src/spool.rs
@@ -9,6 +9,7 @@
 use ibisspool_core::spool::note::{Level, Note};
 use ibisspool_core::spool::redial::redial_pause;
 use ibisspool_core::spool::safety::Safety;
+use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -16,6 +17,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::timeout;
 
+use crate::channel::Receiver;
 use crate::log::Batch;
 use crate::metrics::Metrics;
 use crate::settings::{Error, flag, read, read_name, read_within};
@@ -28,6 +30,14 @@
 /// VM answers nothing and the next try has to find the VM soon after it is back.
 const CONNECT: Duration = Duration::from_millis(120);
 
+/// A connection without a message for this long is given up: six reports of an idle agent, each third
+/// of which its entry answers.
+const SILENCE: Duration = Duration::from_millis(1_200);
+
+/// As many times that for entries, whose exchanges may be as far apart, and between a resting agent
+/// and an entry, which hear of each other once a second.
+const SELDOM: u32 = 2;
+
 /// Bounds on requests to the process's own addresses.
 pub const OWN_LIMITS: Limits = Limits {
     head_bytes: 8 << 10,
@@ -233,6 +243,20 @@
     Ok(stream.context("no connection in time")??)
 }
 
+/// Waits for a message of a peer, twice as long of one that says little.
+///
+/// # Errors
+/// Fails if the connection ends or the peer is silent for too long.
+pub async fn receive<M, F>(receiver: &mut Receiver, says_little: F) -> Result<M>
+where
+    M: DeserializeOwned,
+    F: Fn() -> bool,
+{
+    let goes_on = |silences| silences < SELDOM && says_little();
+    let message = receiver.receive_while(SILENCE, goes_on).await?;
+    message.context("the peer closed the connection")
+}
+
 /// Attends connections to one address, one after another; `attend` returns whether there was one.
 pub async fn keep_connected<A, F>(attend: A)
 where
