refactor(tests): one failing call, one way to play loads, shared fixtures; spool_entry.rs in two

- A call that is refused and one that goes unanswered fail by the same function of the virtual world, and answers to callers leave by one.
- Loads are played by one function, side by side; the lines that are printed and the means come from it.

--- a/crates/core/tests/spool/callers.rs
+++ b/crates/core/tests/spool/callers.rs
@@ -24,14 +24,7 @@
             return;
         }
         if self.entries[index].entry.is_none() {
-            self.after(
-                MS,
-                Event::Answered {
-                    job,
-                    attempt,
-                    answer: None,
-                },
-            );
+            self.answer(job, attempt, None);
             return;
         }
         if self.entries[index].paused {
@@ -119,6 +112,16 @@
         }
     }
 
+    /// Sends an answer to a caller, `None` if its connection breaks.
+    pub(super) fn answer(&mut self, job: usize, attempt: u32, answer: Option<Answer>) {
+        let answered = Event::Answered {
+            job,
+            attempt,
+            answer,
+        };
+        self.after(MS, answered);
+    }
+
     pub(super) fn answered(&mut self, job: usize, attempt: u32, answer: Option<Answer>) {
         let caller = &mut self.callers[job];
         if caller.attempt != attempt || caller.over {
--- a/crates/core/tests/spool/faults.rs
+++ b/crates/core/tests/spool/faults.rs
@@ -111,14 +111,7 @@
                 entry.links.clear();
                 for (job, attempt) in jobs {
                     if self.random.random_bool(0.7) {
-                        self.after(
-                            MS,
-                            Event::Answered {
-                                job,
-                                attempt,
-                                answer: None,
-                            },
-                        );
+                        self.answer(job, attempt, None);
                     }
                 }
             }
--- a/crates/core/tests/spool/load.rs
+++ b/crates/core/tests/spool/load.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::world::plan::Tally;
-use crate::world::{Fault, Job, MS, Plan, QUEUES, Seen, World};
+use crate::world::{Fault, Job, MS, Plan, QUEUES, World};
 
 /// Arrivals of each queue against each other.
 const MIX: [f64; 3] = [34.4, 100.0, 6.25];
@@ -29,6 +29,9 @@
 
 pub const SECOND: u64 = 1_000 * MS;
 
+/// Seconds that a run goes on after its last job.
+const SECONDS_AFTER: u64 = 6;
+
 /// A load as a factor on what the servers can do, over time.
 #[derive(Debug, Clone)]
 pub struct Load {
@@ -126,7 +129,7 @@
         coarse: false,
         faults: load.faults.clone(),
         jobs,
-        end: load.seconds * SECOND + 6 * SECOND,
+        end: (load.seconds + SECONDS_AFTER) * SECOND,
     }
 }
 
@@ -138,6 +141,10 @@
     pub worst_second: f64,
     pub in_time: [f64; 3],
     pub late: [f64; 3],
+    pub refused: f64,
+    pub expired: f64,
+    /// Reports a second at each entry.
+    pub reports: f64,
 }
 
 /// Returns the share of the worth that was earned, by the jobs of each queue.
@@ -154,8 +161,9 @@
     earned / owed
 }
 
-pub fn play(load: &Load, seed: u64) -> (Service, Seen) {
+fn play(load: &Load, seed: u64) -> Service {
     let outcome = World::new(plan(load, seed)).run();
+    assert!(outcome.violations.is_empty(), "{:?}", outcome.violations);
     let share = |part: fn(&Tally) -> u64| {
         [0, 1, 2].map(|queue| {
             let tally = outcome.tally(queue);
@@ -163,28 +171,31 @@
         })
     };
     let second = |second| earned(|queue| outcome.tally_within(queue, second..second + 1));
-    let service = Service {
+    let entry_seconds = (load.seconds + SECONDS_AFTER) * load.entries as u64;
+    Service {
         worth: earned(|queue| outcome.tally(queue)),
         worst_second: (1..load.seconds).map(second).fold(1.0, f64::min),
         in_time: share(|tally| tally.in_time),
         late: share(|tally| tally.late),
-    };
-    (service, outcome)
+        refused: outcome.refused as f64,
+        expired: outcome.expired as f64,
+        reports: outcome.reports as f64 / entry_seconds as f64,
+    }
 }
 
-/// Plays a load with several seeds, side by side, and returns the means.
-pub fn measure(load: &Load) -> Service {
-    let played: Vec<Service> = std::thread::scope(|scope| {
+/// Plays a load with several seeds, side by side.
+fn play_all(load: &Load) -> Vec<Service> {
+    std::thread::scope(|scope| {
         let runs: Vec<_> = (1..=SEEDS)
             .map(|seed| scope.spawn(move || play(load, seed)))
             .collect();
-        let played = runs.into_iter().map(|run| {
-            let (service, seen) = run.join().expect("the run does not panic");
-            assert!(seen.violations.is_empty(), "{:?}", seen.violations);
-            service
-        });
-        played.collect()
-    });
+        runs.into_iter()
+            .map(|run| run.join().expect("no promise is broken"))
+            .collect()
+    })
+}
+
+fn mean(played: &[Service]) -> Service {
     let mean =
         |part: &dyn Fn(&Service) -> f64| played.iter().map(part).sum::<f64>() / played.len() as f64;
     Service {
@@ -192,39 +203,41 @@
         worst_second: mean(&|service| service.worst_second),
         in_time: [0, 1, 2].map(|queue| mean(&|service| service.in_time[queue])),
         late: [0, 1, 2].map(|queue| mean(&|service| service.late[queue])),
+        refused: mean(&|service| service.refused),
+        expired: mean(&|service| service.expired),
+        reports: mean(&|service| service.reports),
     }
 }
 
-/// Plays a load with several seeds and returns the mean worth.
-pub fn report(name: &str, load: &Load) -> f64 {
-    report_with_messages(name, load).0
+/// Plays a load with several seeds and returns the means.
+pub fn measure(load: &Load) -> Service {
+    mean(&play_all(load))
 }
 
-/// Plays a load with several seeds and returns the mean worth, and how many reports a second each
-/// entry gets.
-pub fn report_with_messages(name: &str, load: &Load) -> (f64, f64) {
-    let (mut worth, mut reports) = (0.0, 0.0);
-    for seed in 1..=SEEDS {
-        let (service, seen) = play(load, seed);
-        let shares = |of: [f64; 3]| {
-            let share = |queue: usize| format!("{} {:.3}", QUEUES[queue].0, of[queue]);
-            [share(0), share(1), share(2)].join(" ")
-        };
+/// Plays a load with several seeds, prints what each served, and returns the means.
+pub fn report(name: &str, load: &Load) -> Service {
+    let played = play_all(load);
+    for service in &played {
         println!(
             "{name:<28} worth {:.3}; in time {}; late {}; {} refused, {} expired",
             service.worth,
-            shares(service.in_time),
-            shares(service.late),
-            seen.refused,
-            seen.expired
+            by_queue(service.in_time),
+            by_queue(service.late),
+            service.refused,
+            service.expired
         );
-        assert!(seen.violations.is_empty(), "{:?}", seen.violations);
-        worth += service.worth / SEEDS as f64;
-        let seconds = (load.seconds + 6) * load.entries as u64 * SEEDS;
-        reports += seen.reports as f64 / seconds as f64;
     }
-    println!("{name:<28} mean worth {worth:.3}, {reports:.0} reports/s an entry");
-    (worth, reports)
+    let mean = mean(&played);
+    println!(
+        "{name:<28} mean worth {:.3}, {:.0} reports/s an entry",
+        mean.worth, mean.reports
+    );
+    mean
+}
+
+pub fn by_queue(shares: [f64; 3]) -> String {
+    let share = |queue: usize| format!("{} {:.3}", QUEUES[queue].0, shares[queue]);
+    [share(0), share(1), share(2)].join(" ")
 }
 
 /// Servers of unlike speed, as run times against the usual.
--- a/crates/core/tests/spool/servers.rs
+++ b/crates/core/tests/spool/servers.rs
@@ -13,6 +13,9 @@
 /// Time in which a task fails on a backend server that errs.
 const ERRS_WITHIN: u64 = 5 * MS;
 
+/// Patience of the edge.
+const PATIENCE: u64 = 40 * MS;
+
 impl World {
     /// Sends an order to the backend server, which may carry it out late or lose its answer.
     pub(super) fn order(&mut self, agent: usize, call: Call) {
@@ -30,26 +33,7 @@
         };
         let answered = !late && !lost;
         if !answered {
-            /// Patience of the edge.
-            const PATIENCE: u64 = 40 * MS;
-            let message = match &call {
-                Call::Start { key, .. } => Some(Message::StartAnswer(*key, StartAnswer::Silent)),
-                Call::Stop { .. } => None,
-                Call::Hold { .. } => Some(Message::HoldFailed(
-                    self.clock(Process::Agent(agent)).mono.0,
-                    false,
-                )),
-            };
-            let to = Process::Agent(agent);
-            if let Some(message) = message {
-                self.after(PATIENCE, Event::Deliver { to, boot, message });
-            }
-            if let Call::Hold { probe, id, .. } = call {
-                self.agents[agent].waiting.remove(&id);
-                if !probe {
-                    self.after(PATIENCE + 10 * MS, Event::NextHold { agent, boot });
-                }
-            }
+            self.fail(agent, boot, &call, StartAnswer::Silent, PATIENCE);
         }
         self.after(
             delay,
@@ -68,14 +52,23 @@
 
     /// Refuses the connection of a call. The agent may look at that after other things that came later.
     fn refuse(&mut self, agent: usize, boot: u64, call: &Call) {
+        let delay = [100, 2_000, 20_000][self.random.random_range(0..3)];
+        self.fail(agent, boot, call, StartAnswer::Absent, delay);
+    }
+
+    /// Tells an agent after a time that a call got no answer, as a start would; a hold is then made
+    /// again.
+    fn fail(&mut self, agent: usize, boot: u64, call: &Call, answer: StartAnswer, delay: u64) {
         let asked = self.clock(Process::Agent(agent)).mono.0;
         let message = match call {
-            Call::Start { key, .. } => Some(Message::StartAnswer(*key, StartAnswer::Absent)),
+            Call::Start { key, .. } => Some(Message::StartAnswer(*key, answer)),
             Call::Stop { .. } => None,
-            Call::Hold { .. } => Some(Message::HoldFailed(asked, true)),
+            Call::Hold { .. } => {
+                let refused = answer == StartAnswer::Absent;
+                Some(Message::HoldFailed(asked, refused))
+            }
         };
         let to = Process::Agent(agent);
-        let delay = [100, 2_000, 20_000][self.random.random_range(0..3)];
         if let Some(message) = message {
             self.after(delay, Event::Deliver { to, boot, message });
         }
--- a/crates/core/tests/spool/world.rs
+++ b/crates/core/tests/spool/world.rs
@@ -478,14 +478,7 @@
             match action {
                 entry::Action::Answer(key, answer) => {
                     if let Some((job, attempt)) = self.entries[index].jobs.remove(&key) {
-                        self.after(
-                            MS,
-                            Event::Answered {
-                                job,
-                                attempt,
-                                answer: Some(answer),
-                            },
-                        );
+                        self.answer(job, attempt, Some(answer));
                     }
                 }
                 entry::Action::Order(link, order) => {
--- a/crates/core/tests/spool_entry.rs
+++ b/crates/core/tests/spool_entry.rs
@@ -1,176 +1,21 @@
-//! Decisions of an entry, one at a time.
+//! Jobs at an entry, one event at a time.
+
+#[allow(dead_code, reason = "each test file uses a part of it")]
+#[path = "spool/desk.rs"]
+mod desk;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use ibisspool_core::spool::catalogue::{Limits, Queue, Snapshot};
-use ibisspool_core::spool::entry::{
-    Action, Answer, Entry, JobKey, LinkKey, Peer, Refusal, gossip_pause,
-};
-use ibisspool_core::spool::job::{Id, Request, Resources, Step};
-use ibisspool_core::spool::message::{
-    AgentHello, Declined, End, Load, Member, Order, Outcome, Report, Server, Stamp, Start,
+use desk::{
+    TASK, agent, answers, at, entry, hello, orders, outcome, patient, queue, refused, report,
+    request, snapshot, starts, step,
 };
-use ibisspool_core::spool::safety::Safety;
-use ibisspool_core::time::{Mono, Now, Wall};
-use smallvec::{SmallVec, smallvec};
-
-const TASK: Resources = Resources {
-    cpu: 1_600,
-    memory: 64,
-    accelerators: 0,
-};
-
-fn at(millis: u64) -> Now {
-    Now {
-        mono: Mono(millis * 1_000),
-        wall: Wall(millis),
-    }
-}
-
-fn queue() -> Queue {
-    Queue {
-        name: Arc::from("checks"),
-        host: "desk.example".to_owned(),
-        prefix: "/checks/".to_owned(),
-        service: Arc::from("desk"),
-        priority: 0,
-        attempts: 2,
-        timeout: Duration::from_millis(1_500),
-        stretch: 1.6,
-        target: Duration::from_millis(60),
-        advised: false,
-    }
-}
-
-fn step(tasks: u32, after: SmallVec<[u16; 4]>) -> Step {
-    Step {
-        tasks,
-        needs: TASK,
-        estimate: Duration::from_millis(60),
-        after,
-        label: None,
-        rack: None,
-        spread: None,
-    }
-}
-
-fn request(steps: Vec<Step>) -> Request {
-    Request {
-        id: Id(7),
-        spec: Arc::from("work"),
-        steps,
-        budget: Duration::from_secs(2),
-    }
-}
-
-/// A job whose caller waits far longer than its objective.
-fn patient(step: Step) -> Request {
-    Request {
-        budget: Duration::from_secs(10),
-        ..request(vec![step])
-    }
-}
-
-fn snapshot(version: u64, out_of_service: &[&str]) -> Arc<Snapshot> {
-    Arc::new(Snapshot {
-        version,
-        queues: vec![queue()],
-        limits: Limits::default(),
-        out_of_service: out_of_service.iter().map(|&name| name.to_owned()).collect(),
-    })
-}
-
-fn entry() -> Entry {
-    let me = Member {
-        name: "entry-1".to_owned(),
-        address: ([10, 0, 0, 1], 7_000).into(),
-    };
-    let safety = Safety::new(Duration::from_millis(1_300), Duration::from_secs(1));
-    let mut entry = Entry::new(me, safety, 1);
-    entry.set_catalogue(snapshot(1, &[]), "test", at(0));
-    entry
-}
-
-fn report(rooms: u32, outcomes: Vec<Outcome>, now: Now) -> Report {
-    let capacity = Resources {
-        cpu: 16_000,
-        memory: 32_768,
-        accelerators: 0,
-    };
-    Report {
-        stamp: Stamp(now.mono.0),
-        seen: u64::MAX,
-        cleared: false,
-        server: Some(Server {
-            service: Arc::from("desk"),
-            capacity,
-            labels: Vec::new(),
-            ready: true,
-        }),
-        load: Load {
-            free: Resources {
-                cpu: rooms * TASK.cpu,
-                ..capacity
-            },
-            queued: 0,
-            open: 100,
-            pace: 1.0,
-        },
-        outcomes,
-    }
-}
-
-fn hello(name: &str) -> AgentHello {
-    AgentHello {
-        name: name.to_owned(),
-        data_centre: "north".to_owned(),
-    }
-}
-
-fn agent(entry: &mut Entry, name: &str, rooms: u32, now: Now) -> LinkKey {
-    let link = entry.connect(hello(name), now);
-    entry.report(link, report(rooms, Vec::new(), now), now);
-    entry.take_actions();
-    link
-}
-
-fn orders(entry: &mut Entry) -> Vec<(LinkKey, Order)> {
-    entry
-        .take_actions()
-        .into_iter()
-        .filter_map(|action| match action {
-            Action::Order(link, order) => Some((link, order)),
-            _ => None,
-        })
-        .collect()
-}
-
-fn starts(entry: &mut Entry) -> Vec<(LinkKey, Start)> {
-    orders(entry)
-        .into_iter()
-        .flat_map(|(link, order)| order.starts.into_iter().map(move |start| (link, start)))
-        .collect()
-}
-
-fn answers(entry: &mut Entry) -> Vec<(JobKey, Answer)> {
-    entry
-        .take_actions()
-        .into_iter()
-        .filter_map(|action| match action {
-            Action::Answer(key, answer) => Some((key, answer)),
-            _ => None,
-        })
-        .collect()
-}
-
-fn outcome(start: &Start, end: End) -> Outcome {
-    Outcome {
-        ticket: start.ticket,
-        end,
-        ran: Duration::from_millis(60),
-    }
-}
+use ibisspool_core::spool::entry::{Answer, Refusal};
+use ibisspool_core::spool::job::{Resources, Step};
+use ibisspool_core::spool::message::{Declined, End, Outcome, Report};
+use ibisspool_core::time::Mono;
+use smallvec::smallvec;
 
 #[test]
 fn a_job_is_answered_once_all_its_steps_are_done() {
@@ -275,10 +120,7 @@
 
     let key = entry.submit(request(vec![step(8, smallvec![])]), queue(), at(1));
 
-    let expected = Answer::Refused {
-        reason: Refusal::Overloaded,
-        retry_after: Duration::from_secs(1),
-    };
+    let expected = refused(Refusal::Overloaded);
     assert_eq!(answers(&mut entry), [(key, expected)]);
 }
 
@@ -450,31 +292,8 @@
 
     let key = entry.submit(request(vec![step(1, smallvec![])]), queue(), at(3_001));
 
-    let refused = Answer::Refused {
-        reason: Refusal::NoBackend,
-        retry_after: Duration::from_secs(1),
-    };
-    assert_eq!(answers(&mut entry), [(key, refused)]);
-}
-
-#[test]
-fn an_entry_is_ready_once_a_backend_server_is_known() {
-    let mut entry = entry();
-    let link = entry.connect(hello("agent-1"), at(10));
-    let before = entry.is_ready(at(20).mono);
-    entry.report(link, report(10, Vec::new(), at(20)), at(20));
-
-    assert!(!before);
-    assert!(entry.is_ready(at(40).mono));
-}
-
-#[test]
-fn an_entry_that_hears_no_agent_is_not_ready() {
-    let mut entry = entry();
-    agent(&mut entry, "agent-1", 10, at(0));
-
-    assert!(entry.is_ready(at(200).mono), "agents report every 200 ms");
-    assert!(!entry.is_ready(at(400).mono));
+    let expected = refused(Refusal::NoBackend);
+    assert_eq!(answers(&mut entry), [(key, expected)]);
 }
 
 #[test]
@@ -502,127 +321,3 @@
     assert_eq!(first[0].1.estimate, Duration::from_millis(60));
     assert_eq!(second[0].1.estimate, Duration::from_millis(60));
 }
-
-fn member(number: u8) -> Member {
-    Member {
-        name: format!("entry-{number}"),
-        address: ([10, 0, 0, number], 7_000).into(),
-    }
-}
-
-#[test]
-fn an_entry_tells_another_one_each_entry_once() {
-    let mut entry = entry();
-    let mut peer = Peer::default();
-
-    let first = entry.tell(&mut peer);
-    let second = entry.tell(&mut peer);
-    entry.learn_members(&[member(2)]);
-    let third = entry.tell(&mut peer);
-
-    let told = [first, second, third].map(|gossip| gossip.members);
-    assert_eq!(told, [vec![member(1)], vec![], vec![member(2)]]);
-}
-
-#[test]
-fn an_entry_tells_an_agent_each_entry_once() {
-    let mut entry = entry();
-    let link = entry.connect(hello("agent-1"), at(0));
-    let mut told = Vec::new();
-    for (number, millis) in [(2, 10), (3, 20), (4, 30)] {
-        entry.learn_members(&[member(number)]);
-        entry.report(link, report(10, Vec::new(), at(millis)), at(millis));
-        told.extend(
-            orders(&mut entry)
-                .into_iter()
-                .flat_map(|(_link, order)| order.members),
-        );
-    }
-
-    assert_eq!(told, [1, 2, 3, 4].map(member));
-}
-
-#[test]
-fn an_entry_sends_its_catalogue_only_to_one_that_asks_with_an_older_one() {
-    let mut entry = entry();
-    let mut peer = Peer::default();
-    let unknown = entry.tell(&mut peer);
-
-    peer.hear(&unknown);
-    let same = entry.tell(&mut peer);
-    entry.set_catalogue(snapshot(2, &[]), "test", at(10));
-    let asking = entry.ask(&mut peer);
-    let behind = entry.tell(&mut peer);
-
-    assert_eq!(unknown.catalogue, None);
-    assert_eq!(same.catalogue, None);
-    assert_eq!(asking.catalogue, None);
-    assert_eq!(behind.catalogue.map(|catalogue| catalogue.version), Some(2));
-}
-
-/// An entry that watches one agent of three, and lets the others rest.
-fn entry_with_resting_agents() -> (Entry, Vec<LinkKey>) {
-    let mut entry = entry().with_watched(1);
-    let all: Vec<LinkKey> = ["agent-1", "agent-2", "agent-3"]
-        .iter()
-        .map(|name| agent(&mut entry, name, 2, at(0)))
-        .collect();
-    for &link in &all {
-        entry.report(link, report(2, Vec::new(), at(700)), at(700));
-    }
-    entry.tick(at(700));
-    let rest: Vec<LinkKey> = orders(&mut entry)
-        .into_iter()
-        .filter(|(_link, order)| order.rest)
-        .map(|(link, _order)| link)
-        .collect();
-    for &link in &rest {
-        entry.report(link, report(2, Vec::new(), at(1_700)), at(1_700));
-    }
-    entry.take_actions();
-    (entry, rest)
-}
-
-#[test]
-fn agents_that_are_not_in_use_rest_but_for_a_few() {
-    let (entry, resting) = entry_with_resting_agents();
-
-    assert_eq!(resting.len(), 2);
-    assert!(resting.iter().all(|link| entry.rests(*link)));
-}
-
-#[test]
-fn a_resting_agent_is_woken_for_its_room_and_gets_tasks_by_a_new_report() {
-    let (mut entry, resting) = entry_with_resting_agents();
-
-    // All reports are older than the bound on a start.
-    entry.submit(request(vec![step(1, smallvec![])]), queue(), at(2_100));
-    let (link, asked) = orders(&mut entry).remove(0);
-    entry.report(link, report(2, Vec::new(), at(2_102)), at(2_102));
-
-    assert!(resting.contains(&link));
-    assert!(asked.starts.is_empty() && !asked.rest);
-    let sent = starts(&mut entry);
-    assert_eq!(sent.len(), 1);
-    assert_eq!(sent[0].0, link);
-}
-
-#[test]
-fn a_resting_agent_that_does_not_answer_is_asked_once() {
-    let (mut entry, resting) = entry_with_resting_agents();
-    entry.submit(request(vec![step(1, smallvec![])]), queue(), at(2_100));
-    let first = orders(&mut entry).remove(0).0;
-
-    entry.tick(at(2_120));
-
-    let second = orders(&mut entry).remove(0).0;
-    assert!(resting.contains(&second));
-    assert_ne!(first, second);
-}
-
-#[test]
-fn exchanges_of_many_entries_are_further_apart() {
-    let pauses = [1, 12, 24, 300].map(|others| gossip_pause(others).as_millis());
-
-    assert_eq!(pauses, [400, 400, 800, 1_200]);
-}
--- a/crates/core/tests/spool_patterns.rs
+++ b/crates/core/tests/spool_patterns.rs
@@ -15,8 +15,8 @@
 
 use ibisspool_core::spool::entry::Policy;
 use ibisspool_core::spool::entry::placement::{Candidate, Choice, Demand};
-use load::{Load, SECOND, measure, steady};
-use world::{Fault, MS, QUEUES};
+use load::{Load, SECOND, by_queue, measure, steady};
+use world::{Fault, MS};
 
 /// Mean worth that the users ask for on days with trouble (Edafos, grown).
 const TARGET: f64 = 0.82;
@@ -31,8 +31,6 @@
 /// announce themselves every 1.5 s, at 3.0 s to nobody, and jobs come from 0.5 to 8 s.
 const PART_WITH_SERVERS: f64 = 1.0 - 1.5 / 7.5;
 
-const ALL: (u64, u64) = (0, 100);
-
 /// A server with room costs nothing; all others are of no use.
 fn any_with_room(candidate: &Candidate, demand: &Demand) -> Option<Choice> {
     candidate.free.fits(&demand.needs).then_some(Choice {
@@ -151,7 +149,6 @@
             "most callers at one entry",
             Load {
                 skew: 0.6,
-                phases: vec![(ALL.0, ALL.1, 0.7, None)],
                 ..steady(0.7)
             },
             1.0,
@@ -187,14 +184,11 @@
             })
         });
         for ((policy, _), service) in policies.iter().zip(&measured) {
-            let kinds: Vec<String> = (0..3)
-                .map(|queue| format!("{} {:.3}", QUEUES[queue].0, service.in_time[queue]))
-                .collect();
             println!(
                 "{name:<48} {policy:<10} worth {:.3}, worst second {:.3}, in time {}",
                 service.worth,
                 service.worst_second,
-                kinds.join(" ")
+                by_queue(service.in_time)
             );
         }
         let [product, any, most] = &measured;
--- a/crates/standin/examples/http.rs
+++ b/crates/standin/examples/http.rs
@@ -5,7 +5,6 @@
 
 use std::io::Read;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
@@ -15,7 +14,7 @@
 use ibisspool_kernel::settings::{flag, read_within};
 use ibisspool_kernel::spool::{OWN_LIMITS, block_on};
 use ibisspool_kernel::web::{self, Client, Reply};
-use ibisspool_standin::children::free_address;
+use ibisspool_standin::children::{self, Usage, free_address};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
@@ -39,6 +38,7 @@
         .get_matches();
     let connections = read_within(&matches, "connections", 1, 10_000)? as usize;
     let calls = read_within(&matches, "calls", 1, 1_000_000)? as usize;
+    let all = connections * calls;
     let pause = Duration::from_millis(read_within(&matches, "pause-ms", 1, 60_000)?);
 
     println!("| server | answered | CPU us a call | wake-ups a call | threads | memory MB |");
@@ -47,17 +47,16 @@
         let address = free_address()?;
         let server = Process::start(&["server", kind, &address.to_string()])?;
         block_on(async { await_answer(&Client::new(address)).await })?;
-        let before = server.usage()?;
+        let before = children::usage(&server.0)?;
         let answered = block_on(press(address, connections, calls, pause))?;
-        let after = server.usage()?;
+        let after = children::usage(&server.0)?;
         let each = |total: f64| total / answered.max(1) as f64;
         println!(
-            "| {kind} | {answered} of {} | {:.0} | {:.2} | {} | {:.1} |",
-            connections * calls,
-            each(after.cpu_us - before.cpu_us),
-            each(after.wakes - before.wakes),
+            "| {kind} | {answered} of {all} | {:.0} | {:.2} | {} | {:.1} |",
+            each(after.cpu_s - before.cpu_s) * 1e6,
+            each(after.sleeps - before.sleeps),
             after.threads,
-            after.memory_mb
+            after.memory / 1e6
         );
     }
     println!();
@@ -68,16 +67,15 @@
         let _server = Process::start(&["server", "web", &address.to_string()])?;
         block_on(async { await_answer(&Client::new(address)).await })?;
         let opened = connections_opened()?;
-        let mut client =
-            Process::start(&["client", kind, &address.to_string(), &calls.to_string()])?;
+        let mut client = Process::start(&["client", kind, &address.to_string(), &all.to_string()])?;
         let (text, usage) = client.finish()?;
         let opened = connections_opened()? - opened;
         let answered: usize = text.trim().parse().context("the client says no number")?;
         let each = |total: f64| total / answered.max(1) as f64;
         println!(
-            "| {kind} | {answered} of {calls} | {:.0} | {:.2} | {:.2} |",
-            each(usage.cpu_us),
-            each(usage.wakes),
+            "| {kind} | {answered} of {all} | {:.0} | {:.2} | {:.2} |",
+            each(usage.cpu_s) * 1e6,
+            each(usage.sleeps),
             each(opened)
         );
     }
@@ -172,15 +170,6 @@
     Ok(answered)
 }
 
-/// What a process has used so far.
-#[derive(Debug, Default)]
-struct Usage {
-    cpu_us: f64,
-    wakes: f64,
-    threads: usize,
-    memory_mb: f64,
-}
-
 /// This program in another role; it is killed when this is dropped.
 #[derive(Debug)]
 struct Process(Child);
@@ -203,22 +192,7 @@
         while output.read(&mut byte)? == 1 && byte[0] != b'\n' {
             text.push(char::from(byte[0]));
         }
-        Ok((text, self.usage()?))
-    }
-
-    fn usage(&self) -> Result<Usage> {
-        let folder = PathBuf::from(format!("/proc/{}", self.0.id()));
-        let mut usage = Usage {
-            memory_mb: number(&folder.join("status"), "VmRSS:")? / 1_024.0,
-            ..Usage::default()
-        };
-        for task in std::fs::read_dir(folder.join("task"))? {
-            let task = task?.path();
-            usage.threads += 1;
-            usage.wakes += number(&task.join("status"), "voluntary_ctxt_switches:")?;
-            usage.cpu_us += number(&task.join("schedstat"), "")? / 1_000.0;
-        }
-        Ok(usage)
+        Ok((text, children::usage(&self.0)?))
     }
 }
 
@@ -228,14 +202,6 @@
     }
 }
 
-/// Returns the first number of the first line that begins with a name.
-fn number(file: &Path, name: &str) -> Result<f64> {
-    let text = std::fs::read_to_string(file)?;
-    let line = text.lines().find_map(|line| line.strip_prefix(name));
-    let value = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
-    value.with_context(|| format!("no {name} in {}", file.display()))
-}
-
 /// Returns how many connections this machine has opened so far.
 fn connections_opened() -> Result<f64> {
     let text = std::fs::read_to_string("/proc/net/snmp")?;
--- a/crates/standin/src/children.rs
+++ b/crates/standin/src/children.rs
@@ -68,6 +68,8 @@
     pub memory: f64,
     /// Threads.
     pub threads: f64,
+    /// How often its threads went to sleep.
+    pub sleeps: f64,
 }
 
 impl Process {
@@ -104,30 +106,46 @@
     /// # Errors
     /// Fails if the process has ended.
     pub fn usage(&self) -> Result<Usage> {
-        let folder = format!("/proc/{}", self.child.id());
-        let stat = std::fs::read_to_string(format!("{folder}/stat")).context("no such process")?;
-        let status = std::fs::read_to_string(format!("{folder}/status"))?;
-        let fields: Vec<&str> = stat
-            .rsplit(')')
-            .next()
-            .unwrap_or("")
-            .split_whitespace()
-            .collect();
-        let ticks = |field: usize| fields.get(field).and_then(|f| f.parse::<f64>().ok());
-        let cpu = ticks(USER_TICKS).unwrap_or(0.0) + ticks(SYSTEM_TICKS).unwrap_or(0.0);
-        let number = |name: &str| {
-            let line = status.lines().find_map(|line| line.strip_prefix(name));
-            line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok())
-                .unwrap_or(0.0)
-        };
-        Ok(Usage {
-            cpu_s: cpu / TICKS_PER_SECOND,
-            memory: number("VmRSS:") * 1_024.0,
-            threads: number("Threads:"),
-        })
+        usage(&self.child)
     }
 }
 
+/// Returns what a process has used so far.
+///
+/// # Errors
+/// Fails if the process has ended.
+pub fn usage(process: &Child) -> Result<Usage> {
+    let folder = format!("/proc/{}", process.id());
+    let stat = std::fs::read_to_string(format!("{folder}/stat")).context("no such process")?;
+    let status = std::fs::read_to_string(format!("{folder}/status"))?;
+    let fields: Vec<&str> = stat
+        .rsplit(')')
+        .next()
+        .unwrap_or("")
+        .split_whitespace()
+        .collect();
+    let ticks = |field: usize| fields.get(field).and_then(|f| f.parse::<f64>().ok());
+    let cpu = ticks(USER_TICKS).unwrap_or(0.0) + ticks(SYSTEM_TICKS).unwrap_or(0.0);
+    let mut sleeps = 0.0;
+    for task in std::fs::read_dir(format!("{folder}/task"))? {
+        let status = std::fs::read_to_string(task?.path().join("status"))?;
+        sleeps += number(&status, "voluntary_ctxt_switches:");
+    }
+    Ok(Usage {
+        cpu_s: cpu / TICKS_PER_SECOND,
+        memory: number(&status, "VmRSS:") * 1_024.0,
+        threads: number(&status, "Threads:"),
+        sleeps,
+    })
+}
+
+/// Returns the number after a name in a status of `/proc`, 0 if it is not there.
+fn number(status: &str, name: &str) -> f64 {
+    let line = status.lines().find_map(|line| line.strip_prefix(name));
+    line.and_then(|line| line.split_whitespace().next()?.parse().ok())
+        .unwrap_or(0.0)
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         let _ended = self.child.kill();
