feat(core): entries draw agents from a home share, by loads that are current

Every entry used every agent, so that each agent reported frequently to 35 of 55 entries, and its reports, spaced by 4 ms for each of them, were 40 to 160 ms old; of servers believed to have room half had none. Reports followed ends but not starts. A task that met a full server waited there 5 ms and, in the process, until the next tick of 20 ms.

Change: an entry places tasks on its home share, the agents that report frequently to it, while one of them ends the task in time, and draws in proportion to free capacity and speed; agents elsewhere rest after 100 ms without a task; a reduced report older than 5 ms is no load to place by; starts are reported; almost full is measured in tasks, not in a fixed number of cores; a task that meets a full server that was believed free comes back at once. The penalty for almost full servers is gone.

--- a/crates/core/src/spool/agent.rs
+++ b/crates/core/src/spool/agent.rs
@@ -106,6 +106,8 @@
     reserved: Resources,
     /// When the next load reports are due, `None` if the load has not changed.
     load_reports_due_at: Option<Monotonic>,
+    /// Mean CPU of the tasks received, in thousandths of a core; recent ones weigh more.
+    mean_task_cpu: f64,
     actions: Vec<Action>,
 }
 
@@ -128,6 +130,7 @@
             is_draining: false,
             reserved: Resources::default(),
             load_reports_due_at: None,
+            mean_task_cpu: 0.0,
             actions: Vec::new(),
         }
     }
--- a/crates/core/src/spool/agent/backend.rs
+++ b/crates/core/src/spool/agent/backend.rs
@@ -309,7 +309,9 @@
             .fencing_token
             .saturating_sub(self.last_start_number)
             .max(MIN_TOKEN_DISTANCE_MS);
-        self.fencing_token += distance_ms * 2;
+        self.fencing_token = self
+            .fencing_token
+            .saturating_add(distance_ms.saturating_mul(2));
         let line = LogLine::warn("Raised the fencing token.").with("token", self.fencing_token);
         self.log(line);
     }
--- a/crates/core/src/spool/agent/entry_messages.rs
+++ b/crates/core/src/spool/agent/entry_messages.rs
@@ -27,7 +27,11 @@
         for ticket in order.cancels {
             self.cancel(connection, ticket, now);
         }
+        if !order.starts.is_empty() {
+            self.schedule_load_reports(now.mono);
+        }
         for start in order.starts {
+            self.record_task_cpu(start.needs.cpu_millicores);
             self.accept_or_decline(connection, start, now);
         }
         self.start_queued_runs(now);
--- a/crates/core/src/spool/agent/report.rs
+++ b/crates/core/src/spool/agent/report.rs
@@ -31,6 +31,14 @@
 /// a report to be echoed, so that the tasks need not stop.
 const RENEWAL_SHARE: f64 = 0.45;
 
+/// Number of mean tasks that fit into the free CPU of the server, below which the server counts as
+/// almost full. Entries are told of each change of its load, as several of them may soon place tasks
+/// there.
+const ALMOST_FULL_BELOW_TASKS: f64 = 3.0;
+
+/// Weight of the newest task in the mean CPU of tasks.
+const TASK_CPU_WEIGHT: f64 = 0.05;
+
 /// Upper bound on the open slots in a report; a higher number makes no difference to placement.
 const MAX_REPORTED_SLOTS: u32 = 1_000;
 
@@ -146,7 +154,8 @@
                     is_large && has_elapsed(REPORT_INTERVAL),
                 )
             } else {
-                let is_relevant = is_load_due && affects_placement(&connection.last_load, &load);
+                let is_relevant =
+                    is_load_due && self.affects_placement(&connection.last_load, &load);
                 if is_relevant && !has_elapsed(min_interval) {
                     let due = connection.last_report_at.unwrap_or(now).plus(min_interval);
                     next_due = Some(next_due.map_or(due, |earliest| earliest.min(due)));
@@ -179,6 +188,28 @@
         MIN_LOAD_REPORT_INTERVAL * entries as u32
     }
 
+    /// Returns whether an entry might place tasks differently if it knew the new load: the server
+    /// has begun or ceased to accept tasks, has more room for tasks in the queue, or is or was
+    /// almost full.
+    fn affects_placement(&self, old: &Load, new: &Load) -> bool {
+        let has_opened_or_closed = (old.open_slots == 0) != (new.open_slots == 0);
+        let (old_free, new_free) = (old.free.cpu_millicores, new.free.cpu_millicores);
+        let almost_full_below = self.mean_task_cpu * ALMOST_FULL_BELOW_TASKS;
+        let is_room_relevant = (old_free < new_free && old.queued_cpu > 0)
+            || f64::from(old_free.min(new_free)) < almost_full_below;
+        has_opened_or_closed || (is_room_relevant && old_free != new_free)
+    }
+
+    /// Updates the mean CPU of tasks by that of a new one, in thousandths of a core.
+    pub(super) fn record_task_cpu(&mut self, cpu_millicores: u32) {
+        let cpu = f64::from(cpu_millicores);
+        self.mean_task_cpu = if self.mean_task_cpu > 0.0 {
+            self.mean_task_cpu + (cpu - self.mean_task_cpu) * TASK_CPU_WEIGHT
+        } else {
+            cpu
+        };
+    }
+
     fn is_large_change(&self, old: &Load, new: &Load) -> bool {
         let capacity = self
             .backend
@@ -285,17 +316,3 @@
         self.actions.push(Action::Report(key, report));
     }
 }
-
-/// Returns whether an entry might place tasks differently if it knew the new load: the server has
-/// begun or ceased to accept tasks, has more room for tasks in the queue, or is almost full.
-fn affects_placement(old: &Load, new: &Load) -> bool {
-    let has_opened_or_closed = (old.open_slots == 0) != (new.open_slots == 0);
-    let is_room_relevant = (old.free.cpu_millicores < new.free.cpu_millicores
-        && old.queued_cpu > 0)
-        || (old.free.cpu_millicores < SCARCE_CPU);
-    has_opened_or_closed || (is_room_relevant && old.free.cpu_millicores != new.free.cpu_millicores)
-}
-
-/// Free CPU, in thousandths of a core, below which every change is reported: about two tasks of the
-/// largest usual size.
-const SCARCE_CPU: u32 = 4_600;
--- a/crates/core/src/spool/entry.rs
+++ b/crates/core/src/spool/entry.rs
@@ -17,6 +17,7 @@
 pub mod placement;
 mod policy;
 mod report_rate;
+pub mod selection;
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
--- a/crates/core/src/spool/entry/agents.rs
+++ b/crates/core/src/spool/entry/agents.rs
@@ -20,6 +20,10 @@
 /// task.
 const FRESH_SILENCE_SHARE: f64 = 0.8;
 
+/// Age up to which a report at the reduced rate tells the present load: a few tasks of other entries
+/// start at a busy server in twice this time.
+const MAX_REDUCED_LOAD_AGE: Duration = Duration::from_millis(5);
+
 /// Interval of heartbeats to an agent that has tasks of this entry. The agent stops its tasks when
 /// an entry is silent for too long, and sends a report about every 90 ms to prompt the next
 /// heartbeat.
@@ -60,8 +64,11 @@
     /// Number of tasks sent over this connection whose outcome is not known.
     pub dispatched_tasks: usize,
     pub report_rate: ReportRate,
-    /// Rendezvous weight of the agent at this entry. The agents with the lowest weights always
-    /// report frequently to this entry.
+    /// Whether the agent belongs to the home share of this entry: it always reports frequently, and
+    /// tasks are placed there first.
+    pub is_home: bool,
+    /// Rendezvous weight of the agent at this entry. The agents with the lowest weights are the
+    /// entry's home share.
     pub rendezvous_weight: u64,
     /// When this entry last sent the agent a task or asked it for frequent reports.
     pub last_used_at: Monotonic,
@@ -136,6 +143,7 @@
             unreported_starts: VecDeque::new(),
             dispatched_tasks: 0,
             report_rate: ReportRate::Frequent,
+            is_home: false,
             rendezvous_weight,
             last_used_at: now.mono,
         })
@@ -319,12 +327,22 @@
         self.requeue_orphans(now, |_agent, until| until <= now.mono);
     }
 
-    /// Returns whether the agent's last report is recent enough to place tasks by it.
+    /// Returns whether the agent's last report is recent enough for the agent to accept tasks that
+    /// echo it.
     pub(super) fn has_fresh_report(&self, agent: &Agent, now: Monotonic) -> bool {
         let bound = self.safety.entry_silence_limit.mul_f64(FRESH_SILENCE_SHARE);
         agent.last_stamp.is_some() && now.since(agent.last_report_at) < bound
     }
 
+    /// Returns whether the load of an agent is recent enough to place tasks by it. A report at the
+    /// reduced rate isn't followed by another one when the load changes, so that it is outdated
+    /// much sooner.
+    pub(super) fn has_current_load(&self, agent: &Agent, now: Monotonic) -> bool {
+        self.has_fresh_report(agent, now)
+            && (!agent.has_reduced_reporting()
+                || agent.time_since_report(now) < MAX_REDUCED_LOAD_AGE)
+    }
+
     /// Returns whether an agent reports at the reduced rate, so that a longer silence on its
     /// connection is normal.
     pub fn has_reduced_reporting(&self, connection: ConnectionKey) -> bool {
--- a/crates/core/src/spool/entry/dispatch.rs
+++ b/crates/core/src/spool/entry/dispatch.rs
@@ -4,13 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::Rng;
-
 use super::super::job::{Step, TaskName};
 use super::super::log_line::LogLine;
 use super::super::message::{DispatchId, ServerState, Start};
 use super::agents::Agent;
 use super::placement::{Candidate, Demand, queueing_timeout};
+use super::selection::{Knowledge, Rating};
 use super::{ConnectionKey, Entry, Job, Task, TaskKey, TaskState};
 use crate::time::{Monotonic, Now};
 
@@ -18,10 +17,6 @@
 /// need about as much.
 const MAX_MISSES_PER_ROUND: usize = 12;
 
-/// Upper bound of the random part of an agent's cost. The jitter keeps several entries from all
-/// choosing the same agent.
-const COST_JITTER_SECONDS: f64 = 0.004;
-
 /// Sort key of queued tasks: tasks that can still meet their objective come before late ones, then
 /// earlier latest starts first, then higher priority (a lower number). The order of the fields is
 /// the order of the comparison.
@@ -48,7 +43,7 @@
             }
             match self.choose_agent(key, urgency, now.mono) {
                 Some((connection, _wait))
-                    if !self.has_fresh_report(&self.agents[connection], now.mono) =>
+                    if !self.has_current_load(&self.agents[connection], now.mono) =>
                 {
                     self.request_frequent_reports(connection, now.mono);
                     misses += 1;
@@ -86,8 +81,8 @@
         }
     }
 
-    /// Returns the agent with the lowest cost for a task, and the expected wait there; `None` if no
-    /// agent can run the task in time.
+    /// Returns the agent to place a task on, and the expected wait there; `None` if no agent can run
+    /// the task in time.
     fn choose_agent(
         &mut self,
         key: TaskKey,
@@ -111,7 +106,8 @@
             time_left: last_useful_end.since(now),
         };
         let mean_run_time = self.estimates.mean_run_time();
-        let mut best: Option<(f64, ConnectionKey, Duration)> = None;
+        let mut ratings: Vec<Rating> = Vec::new();
+        let mut options: Vec<(ConnectionKey, Duration)> = Vec::new();
         for (connection, agent) in &self.agents {
             let Some((server, resume_cost)) = self.usable_server(agent, job, now) else {
                 continue;
@@ -131,14 +127,22 @@
             let Some(score) = (self.policy.score)(&candidate, &demand) else {
                 continue;
             };
-            let cost = score.cost_seconds
-                + resume_cost
-                + self.random.random::<f64>() * COST_JITTER_SECONDS;
-            if best.is_none_or(|(least, _connection, _wait)| cost < least) {
-                best = Some((cost, connection, score.expected_wait));
-            }
+            ratings.push(Rating {
+                cost_seconds: score.cost_seconds + resume_cost,
+                free_tasks: f64::from(candidate.free.cpu_millicores)
+                    / f64::from(demand.needs.cpu_millicores.max(1)),
+                knowledge: if resume_cost > 0.0 {
+                    Knowledge::Outdated
+                } else if agent.is_home {
+                    Knowledge::Home
+                } else {
+                    Knowledge::Current
+                },
+            });
+            options.push((connection, score.expected_wait));
         }
-        best.map(|(_cost, connection, wait)| (connection, wait))
+        (self.policy.select)(&ratings, demand.time_left, &mut self.random)
+            .map(|position| options[position])
     }
 
     /// Returns the server of an agent if tasks of the job may go there now, and the penalty in
--- a/crates/core/src/spool/entry/placement.rs
+++ b/crates/core/src/spool/entry/placement.rs
@@ -1,9 +1,8 @@
 //! Scores the agents that could run a task.
 //!
 //! Designed for servers of different speed at two thirds of their capacity and above, chosen by
-//! several entries at once. The agent with the earliest expected end of the task wins. An almost
-//! full server gets a penalty, because another entry may take its last free capacity at the same
-//! moment.
+//! several entries at once. The cost of an agent is the expected time until the end of the task.
+//! [`super::selection`] chooses among the agents by their costs and free capacities.
 
 use std::time::Duration;
 
@@ -17,14 +16,6 @@
 /// queue.
 const WAIT_COST_FACTOR: f64 = 12.0;
 
-/// Largest penalty for a server that is almost full. A collision with another entry there costs
-/// about the rest of a short task.
-const CROWDING_COST_SECONDS: f64 = 0.050;
-
-/// Number of tasks of this size that fit into the free CPU of a server, below which the server
-/// counts as almost full.
-const CROWDED_BELOW_SLOTS: f64 = 3.0;
-
 /// Penalty for a server on which the same task has failed before.
 const FAILED_BEFORE_COST_SECONDS: f64 = 1.0;
 
@@ -61,19 +52,17 @@
 /// Score of a candidate.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Score {
-    /// Expected time until the end of the task plus penalties; the lowest cost wins.
+    /// Expected time until the end of the task plus penalties.
     pub cost_seconds: f64,
     /// Expected wait until the server has enough free resources.
     pub expected_wait: Duration,
 }
 
 /// Returns how long a task may wait in an agent's queue if the entry expects a wait of
-/// `expected_wait` there. The timeout is short: a task that finds a full server which the entry
-/// took for free soon comes back, and with it comes the server's true load.
+/// `expected_wait` there. A task that finds a full server which the entry took for free comes back
+/// at once, and with it comes the server's true load.
 pub fn queueing_timeout(expected_wait: Duration) -> Duration {
-    /// Time in which capacity often becomes free on a server that has just filled up.
-    const MIN_TIMEOUT: Duration = Duration::from_millis(5);
-    MIN_TIMEOUT + expected_wait * 2
+    expected_wait * 2
 }
 
 /// Returns the score of a candidate, `None` if the server is too small, the wait there is too long,
@@ -83,7 +72,6 @@
         return None;
     }
     let needed_cpu = f64::from(demand.needs.cpu_millicores.max(1));
-    let free_cpu = f64::from(candidate.free.cpu_millicores);
     let wait_seconds = if candidate.free.can_hold(&demand.needs) {
         0.0
     } else {
@@ -97,15 +85,13 @@
     if wait_seconds + run_seconds > demand.time_left.as_secs_f64() {
         return None;
     }
-    let crowding_cost =
-        CROWDING_COST_SECONDS * (1.0 - free_cpu / needed_cpu / CROWDED_BELOW_SLOTS).max(0.0);
     let failure_cost = if candidate.failed_before {
         FAILED_BEFORE_COST_SECONDS
     } else {
         0.0
     };
     Some(Score {
-        cost_seconds: wait_seconds * WAIT_COST_FACTOR + run_seconds + crowding_cost + failure_cost,
+        cost_seconds: wait_seconds * WAIT_COST_FACTOR + run_seconds + failure_cost,
         expected_wait: Duration::from_secs_f64(wait_seconds),
     })
 }
--- a/crates/core/src/spool/entry/policy.rs
+++ b/crates/core/src/spool/entry/policy.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
+use rand::rngs::SmallRng;
+
 use super::admission::{Backlog, admit};
 use super::placement::{Candidate, Demand, Score, score};
+use super::selection::{Rating, select};
 
 /// The functions by which an entry chooses agents and admits jobs. The default is used in
 /// production; load replays compare it with simpler ones.
@@ -11,6 +14,9 @@
 pub struct Policy {
     /// Scores an agent for a task; `None` rules the agent out.
     pub score: fn(&Candidate, &Demand) -> Option<Score>,
+    /// Selects one of the rated agents by its position, given the time until the end of the task is
+    /// of no use any more.
+    pub select: fn(&[Rating], Duration, &mut SmallRng) -> Option<usize>,
     /// Decides whether to accept a job that has to start within the given slack. The error is the
     /// time after which the caller should retry.
     pub admit: fn(&Backlog, Duration) -> Result<(), Duration>,
@@ -18,6 +24,10 @@
 
 impl Default for Policy {
     fn default() -> Self {
-        Self { score, admit }
+        Self {
+            score,
+            select,
+            admit,
+        }
     }
 }
--- a/crates/core/src/spool/entry/report_rate.rs
+++ b/crates/core/src/spool/entry/report_rate.rs
@@ -2,9 +2,10 @@
 //!
 //! Designed for tens of entries and hundreds of agents, where each entry has tasks at only a few
 //! agents at a time. An agent reports frequently to each entry that has tasks there, and to each
-//! entry that has it among its small set of frequent reporters. To all other entries it reports at
-//! a reduced rate. Before an entry places tasks on an agent with reduced reports, the entry asks
-//! for frequent reports again, so that no placement relies on an old load.
+//! entry that has it in its home share. To all other entries it reports at a reduced rate, since the
+//! interval between two reports grows with the number of entries that get frequent ones. Before an
+//! entry places tasks on an agent with reduced reports, the entry asks for frequent reports again,
+//! so that no placement relies on an old load.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,14 +16,14 @@
 use super::{ConnectionKey, Entry};
 use crate::time::Monotonic;
 
-/// Number of agents of each service that report frequently to an entry even while it has no tasks
-/// there. A choice among this many is about as good as one among all agents, and in a deployment of
-/// up to twice the smallest size all agents report frequently.
+/// Number of agents of each service in the home share of an entry, which report frequently to it
+/// even while it has no tasks there. A choice among this many is about as good as one among all
+/// agents, and in a deployment of up to twice the smallest size all agents report frequently.
 pub const DEFAULT_FREQUENT_REPORTERS: usize = 24;
 
-/// Time without a task of this entry after which an agent's reports may be reduced: a few typical
-/// run times.
-const REDUCE_AFTER_IDLE: Duration = Duration::from_millis(600);
+/// Time without a task of this entry after which an agent's reports may be reduced. An agent outside
+/// the home share is used only while that has no room.
+const REDUCE_AFTER_IDLE: Duration = Duration::from_millis(100);
 
 /// Interval between two reviews of the report rates.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(200);
@@ -89,7 +90,7 @@
             .is_some_and(|known| known.out_of_service.contains(&agent.data_centre));
         if out_of_service {
             None
-        } else if self.has_fresh_report(agent, now) {
+        } else if self.has_current_load(agent, now) {
             Some((server, 0.0))
         } else {
             agent
@@ -116,9 +117,9 @@
         }
     }
 
-    /// Reduces the reports of idle agents, except for `frequent_reporters` agents of each service.
-    /// Those are the ones with the lowest rendezvous weights, so that different entries pick
-    /// different agents.
+    /// Determines the home share and reduces the reports of idle agents outside it. The home share
+    /// are the `frequent_reporters` agents of each service with the lowest rendezvous weights, so
+    /// that different entries have different ones.
     pub(super) fn update_report_rates(&mut self, now: Monotonic) {
         if now < self.report_rates_due {
             return;
@@ -139,7 +140,9 @@
         serving.sort_unstable();
         for service in serving.chunk_by(|a, b| a.0 == b.0) {
             for (position, (_service, _weight, connection)) in service.iter().enumerate() {
-                if position < self.frequent_reporters {
+                let is_home = position < self.frequent_reporters;
+                self.agents[*connection].is_home = is_home;
+                if is_home {
                     self.request_frequent_reports(*connection, now);
                 } else if self.agents[*connection].is_idle(now) {
                     self.reduce_reporting(*connection);
--- a/crates/core/tests/spool/load.rs
+++ b/crates/core/tests/spool/load.rs
@@ -2,6 +2,8 @@
 //! venue holds of 2 tasks and quotes of 4 long tasks, on servers of different speed, with declared
 //! run times that are off by 40%.
 
+use std::time::Duration;
+
 use ibisspool_core::spool::entry::{DEFAULT_FREQUENT_REPORTERS, Policy};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -23,6 +25,13 @@
 /// Number of such tasks that a server can run at a time.
 const SLOTS_PER_SERVER: u32 = 10;
 
+/// CPU of the servers of the large deployment in thousandths of a core, repeated in this order.
+const LARGE_SERVER_CPU: [u32; 3] = [16_000, 16_000, 24_000];
+/// Speeds of the servers of the large deployment, repeated in this order.
+const LARGE_SERVER_SPEEDS: [f64; 4] = [0.55, 1.2, 1.2, 1.2];
+/// Mean CPU of a task in the large deployment in thousandths of a core.
+const LARGE_TASK_CPU: u32 = 3_800;
+
 /// Time after which an impatient caller closes its connection.
 const EARLY_LEAVER_PATIENCE_US: u64 = 100 * MS;
 
@@ -41,6 +50,10 @@
 pub struct Load {
     /// Slowdown of each backend server.
     pub servers: Vec<f64>,
+    /// CPU of the backend servers in thousandths of a core, repeated in this order.
+    pub server_cpu: Vec<u32>,
+    /// Mean CPU of a task in thousandths of a core.
+    pub task_cpu: u32,
     pub entries: usize,
     /// From second, to second, factor on the arrival rate, and the queue that the factor applies to
     /// (all if `None`). Factors of overlapping phases are multiplied.
@@ -75,10 +88,11 @@
             / total
     };
     let work: f64 = (0..3).map(work_ms_of).sum();
-    let slots: f64 = load
-        .servers
+    let server_cpu = load.server_cpu.iter().copied().cycle();
+    let executors: Vec<(u32, f64)> = server_cpu.zip(load.servers.iter().copied()).collect();
+    let slots: f64 = executors
         .iter()
-        .map(|slowness| f64::from(SLOTS_PER_SERVER) / slowness)
+        .map(|(cpu, slowness)| f64::from(*cpu) / f64::from(load.task_cpu) / slowness)
         .sum();
     let jobs_per_second_at_capacity = slots * 1_000.0 / work;
     let mut jobs = Vec::new();
@@ -118,7 +132,7 @@
                 id,
                 queue,
                 tasks,
-                cpu: (random_around(&mut random, f64::from(TASK_CPU), 0.2)) as u32,
+                cpu: (random_around(&mut random, f64::from(load.task_cpu), 0.2)) as u32,
                 work_us: (work * MS as f64) as u64,
                 declared_us: (declared * MS as f64) as u64,
                 budget_us,
@@ -135,11 +149,7 @@
     Scenario {
         seed,
         entries: load.entries,
-        executors: load
-            .servers
-            .iter()
-            .map(|slowness| (SLOTS_PER_SERVER * TASK_CPU, *slowness))
-            .collect(),
+        executors,
         mutant: None,
         late_call_share: load.late_call_share,
         lost_answer_share: 0.0,
@@ -240,6 +250,35 @@
     mean(&run_all_seeds(load))
 }
 
+/// How soon jobs started in a run.
+#[derive(Debug, Clone, Copy)]
+pub struct StartDelays {
+    /// Tasks that came back from a full server, divided by the started ones.
+    pub returned_share: f64,
+    /// Median time from the submission of a job to the start of its first task.
+    pub median: Duration,
+    /// 95th percentile of that time.
+    pub p95: Duration,
+}
+
+/// Runs a load with one seed and returns how soon its jobs started.
+pub fn measure_start_delays(load: &Load) -> StartDelays {
+    let result = World::new(draw_scenario(load, 1)).run();
+    assert!(result.violations.is_empty(), "{:?}", result.violations);
+    let mut delays_us = result.first_start_us;
+    delays_us.sort_unstable();
+    let percentile =
+        |percent: usize| Duration::from_micros(delays_us[delays_us.len() * percent / 100]);
+    let returned = result.retries.get("busy").copied().unwrap_or_default();
+    let delays = StartDelays {
+        returned_share: returned as f64 / result.starts as f64,
+        median: percentile(50),
+        p95: percentile(95),
+    };
+    println!("{delays:?}");
+    delays
+}
+
 /// Runs a load with several seeds, prints the service level of each run and returns the mean.
 pub fn measure_and_print(name: &str, load: &Load) -> ServiceLevel {
     let played = run_all_seeds(load);
@@ -276,6 +315,8 @@
 pub fn steady_load(factor: f64) -> Load {
     Load {
         servers: mixed_servers(18),
+        server_cpu: vec![SLOTS_PER_SERVER * TASK_CPU],
+        task_cpu: TASK_CPU,
         entries: 4,
         phases: vec![(0, 100, factor, None)],
         faults: Vec::new(),
@@ -288,3 +329,17 @@
         arrival_seconds: 8,
     }
 }
+
+/// Load of `factor` times the capacity on the 240 servers of the large deployment, whose tasks need
+/// about a quarter of a server each.
+pub fn large_load(factor: f64, entries: usize) -> Load {
+    let speeds = LARGE_SERVER_SPEEDS.iter().cycle().take(240);
+    Load {
+        servers: speeds.map(|speed| 1.0 / speed).collect(),
+        server_cpu: LARGE_SERVER_CPU.to_vec(),
+        task_cpu: LARGE_TASK_CPU,
+        entries,
+        arrival_seconds: 5,
+        ..steady_load(factor)
+    }
+}
--- a/crates/core/tests/spool/scenario.rs
+++ b/crates/core/tests/spool/scenario.rs
@@ -142,6 +142,10 @@
     pub(super) tally_by_second: BTreeMap<(usize, u64), Tally>,
     /// Time from the first submission of a job to each refusal.
     pub refused_after_us: Vec<u64>,
+    /// Number of tasks that were queued again, by reason.
+    pub retries: BTreeMap<&'static str, u64>,
+    /// Time from the submission of a job to the start of its first task.
+    pub first_start_us: Vec<u64>,
     pub violations: Vec<String>,
 }
 
--- a/crates/core/tests/spool/servers.rs
+++ b/crates/core/tests/spool/servers.rs
@@ -243,7 +243,10 @@
             return answer;
         }
         self.result.starts += 1;
-        self.callers[job].any_task_ran = true;
+        if !std::mem::replace(&mut self.callers[job].any_task_ran, true) {
+            let waited_us = self.now_us - self.callers[job].first_submitted_at;
+            self.result.first_start_us.push(waited_us);
+        }
         if executor.used_cpu_millis() > executor.capacity_cpu_millis {
             let used = executor.used_cpu_millis();
             self.record_violation(&format!("server {index} is over its capacity: {used}"));
--- a/crates/core/tests/spool/world.rs
+++ b/crates/core/tests/spool/world.rs
@@ -536,7 +536,9 @@
                         self.send_message(id, false, Message::Order(id, order));
                     }
                 }
-                entry::Action::CountRetry(_) => {}
+                entry::Action::CountRetry(reason) => {
+                    *self.result.retries.entry(reason).or_default() += 1;
+                }
                 entry::Action::WriteLog(line) => self.trace("entry", index, &line),
             }
         }
--- a/crates/core/tests/spool_agent.rs
+++ b/crates/core/tests/spool_agent.rs
@@ -6,6 +6,7 @@
 use ibisspool_core::spool::agent::{
     Action, Agent, Announcement, ConnectionKey, Ended, Listing, RunKey, Running, StartAnswer,
 };
+use ibisspool_core::spool::entry::placement::queueing_timeout;
 use ibisspool_core::spool::job::{Id, Resources, TaskName};
 use ibisspool_core::spool::message::{
     AgentHello, DeclineReason, DispatchId, End, Order, Outcome, Report, Start, Timestamp,
@@ -414,3 +415,46 @@
     assert_eq!(before, []);
     assert_eq!(after.len(), 1);
 }
+
+#[test]
+fn entries_learn_that_a_server_fills_up_with_the_tasks_of_another_entry() {
+    let (mut agent, busy) = connected_agent();
+    let watching = agent.add_connection("entry-2", at(1));
+    agent.take_actions();
+
+    agent.handle_order(busy, message(at(1), 1, vec![task(1, 1_500)]), at(20));
+    agent.handle_tick(at(30));
+
+    let reported: Vec<u32> = agent
+        .take_actions()
+        .into_iter()
+        .filter_map(|action| match action {
+            Action::Report(link, report) if link == watching => {
+                Some(report.load.free.cpu_millicores)
+            }
+            _ => None,
+        })
+        .collect();
+    assert_eq!(reported, [500]);
+}
+
+#[test]
+fn a_task_that_was_sent_to_a_free_server_returns_at_once_if_the_server_is_full() {
+    let (mut agent, link) = connected_agent();
+    agent.handle_order(link, message(at(1), 1, vec![task(1, 1_500)]), at(2));
+    agent.take_actions();
+    let unqueued = Start {
+        max_queue_time: queueing_timeout(Duration::ZERO),
+        ..task(2, 1_500)
+    };
+
+    agent.handle_order(link, message(at(2), 2, vec![unqueued]), at(3));
+
+    let reports = take_reports(&mut agent);
+    assert_eq!(reports.len(), 1);
+    assert_eq!(
+        reports[0].outcomes[0].end,
+        End::NotStarted(DeclineReason::Busy)
+    );
+    assert_eq!(reports[0].load.free.cpu_millicores, 500);
+}
--- a/crates/core/tests/spool_patterns.rs
+++ b/crates/core/tests/spool_patterns.rs
@@ -15,6 +15,10 @@
 
 use ibisspool_core::spool::entry::Policy;
 use ibisspool_core::spool::entry::placement::{Candidate, Demand, Score};
+use ibisspool_core::spool::entry::selection::Rating;
+use rand::Rng;
+use rand::rngs::SmallRng;
+
 use load::{Load, SECOND_US, format_by_queue, measure, steady_load};
 use world::{Fault, MS};
 
@@ -48,6 +52,18 @@
     })
 }
 
+/// Upper bound of the random part of an agent's cost, which breaks ties between agents.
+const COST_JITTER_SECONDS: f64 = 0.004;
+
+/// Selection of the baselines: the lowest cost wins.
+fn lowest_cost(ratings: &[Rating], _time_left: Duration, random: &mut SmallRng) -> Option<usize> {
+    let costs = ratings
+        .iter()
+        .map(|rating| rating.cost_seconds + random.random::<f64>() * COST_JITTER_SECONDS);
+    let lowest = costs.enumerate().min_by(|a, b| a.1.total_cmp(&b.1));
+    lowest.map(|(position, _cost)| position)
+}
+
 /// Returns a steady load with a burst of `factor` between two seconds, of one queue or all.
 fn load_with_burst(base: f64, from: u64, to: u64, factor: f64, queue: Option<usize>) -> Load {
     let mut load = steady_load(base);
@@ -181,6 +197,7 @@
             "any free",
             Policy {
                 score: any_with_free_resources,
+                select: lowest_cost,
                 admit: |_backlog, _slack| Ok(()),
             },
         ),
@@ -188,6 +205,7 @@
             "most free",
             Policy {
                 score: most_free_cpu,
+                select: lowest_cost,
                 admit: |_backlog, _slack| Ok(()),
             },
         ),
