--- a/crates/core/tests/spool_agent.rs
+++ b/crates/core/tests/spool_agent.rs
@@ -420,6 +420,7 @@
 fn entries_learn_that_a_server_fills_up_with_the_tasks_of_another_entry() {
     let (mut agent, busy) = connected_agent();
     let watching = agent.add_connection("entry-2", at(1));
+    agent.handle_tick(at(10));
     agent.take_actions();
 
     agent.handle_order(busy, message(at(1), 1, vec![task(1, 1_500)]), at(20));
