--- a/crates/core/src/spool/agent/report.rs
+++ b/crates/core/src/spool/agent/report.rs
@@ -32,8 +32,8 @@
 const RENEWAL_SHARE: f64 = 0.45;
 
 /// Number of mean tasks that fit into the free CPU of the server, below which the server counts as
-/// almost full. Entries are told of each change of its load, as several of them may soon place tasks
-/// there.
+/// almost full. Entries are told of each change of its load, as several of them may soon place
+/// tasks there.
 const ALMOST_FULL_BELOW_TASKS: f64 = 3.0;
 
 /// Weight of the newest task in the mean CPU of tasks.
--- a/crates/core/src/spool/entry.rs
+++ b/crates/core/src/spool/entry.rs
@@ -39,7 +39,7 @@
 pub use estimate::RunTimeEstimates;
 pub use gossip::{Peer, gossip_interval};
 pub use policy::Policy;
-pub use report_rate::DEFAULT_FREQUENT_REPORTERS;
+pub use report_rate::DEFAULT_HOME_AGENTS;
 
 use agents::Agent;
 use dispatch::Urgency;
@@ -184,9 +184,8 @@
     /// Factor on the run time of a task whose input data is in another rack.
     remote_data_factor: f64,
     policy: Policy,
-    /// Number of agents of each service that report at full rate even while this entry has no tasks
-    /// there.
-    frequent_reporters: usize,
+    /// Number of agents of each service in the home share of this entry.
+    home_agents: usize,
     /// When the report rates of the agents are next reviewed.
     report_rates_due: Monotonic,
     random: SmallRng,
@@ -218,7 +217,7 @@
             mean_slowdown: 1.0,
             remote_data_factor: DEFAULT_REMOTE_DATA_FACTOR,
             policy: Policy::default(),
-            frequent_reporters: DEFAULT_FREQUENT_REPORTERS,
+            home_agents: DEFAULT_HOME_AGENTS,
             report_rates_due: Monotonic(0),
             random: SmallRng::seed_from_u64(seed),
             last_event_at: Monotonic(0),
@@ -242,11 +241,11 @@
         self
     }
 
-    /// Sets how many agents of each service report at full rate while this entry has no tasks
-    /// there.
+    /// Sets how many agents of each service are in the home share of this entry: they report to it
+    /// frequently and get its tasks first.
     #[must_use]
-    pub fn with_frequent_reporters(mut self, frequent_reporters: usize) -> Self {
-        self.frequent_reporters = frequent_reporters;
+    pub fn with_home_agents(mut self, home_agents: usize) -> Self {
+        self.home_agents = home_agents;
         self
     }
 
--- a/crates/core/src/spool/entry/agents.rs
+++ b/crates/core/src/spool/entry/agents.rs
@@ -20,8 +20,8 @@
 /// task.
 const FRESH_SILENCE_SHARE: f64 = 0.8;
 
-/// Age up to which a report at the reduced rate tells the present load: a few tasks of other entries
-/// start at a busy server in twice this time.
+/// Age up to which a report at the reduced rate tells the present load. In twice this time, tasks of
+/// other entries may have started at a busy server.
 const MAX_REDUCED_LOAD_AGE: Duration = Duration::from_millis(5);
 
 /// Interval of heartbeats to an agent that has tasks of this entry. The agent stops its tasks when
--- a/crates/core/src/spool/entry/dispatch.rs
+++ b/crates/core/src/spool/entry/dispatch.rs
@@ -81,8 +81,8 @@
         }
     }
 
-    /// Returns the agent to place a task on, and the expected wait there; `None` if no agent can run
-    /// the task in time.
+    /// Returns the agent to place a task on, and the expected wait there; `None` if no agent can
+    /// run the task in time.
     fn choose_agent(
         &mut self,
         key: TaskKey,
--- a/crates/core/src/spool/entry/report_rate.rs
+++ b/crates/core/src/spool/entry/report_rate.rs
@@ -2,10 +2,10 @@
 //!
 //! Designed for tens of entries and hundreds of agents, where each entry has tasks at only a few
 //! agents at a time. An agent reports frequently to each entry that has tasks there, and to each
-//! entry that has it in its home share. To all other entries it reports at a reduced rate, since the
-//! interval between two reports grows with the number of entries that get frequent ones. Before an
-//! entry places tasks on an agent with reduced reports, the entry asks for frequent reports again,
-//! so that no placement relies on an old load.
+//! entry that has it in its home share. To all other entries it reports at a reduced rate, since
+//! the interval between two reports grows with the number of entries that get frequent ones. Before
+//! an entry places tasks on an agent with reduced reports, the entry asks for frequent reports
+//! again, so that no placement relies on an old load.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,10 +19,10 @@
 /// Number of agents of each service in the home share of an entry, which report frequently to it
 /// even while it has no tasks there. A choice among this many is about as good as one among all
 /// agents, and in a deployment of up to twice the smallest size all agents report frequently.
-pub const DEFAULT_FREQUENT_REPORTERS: usize = 24;
+pub const DEFAULT_HOME_AGENTS: usize = 24;
 
-/// Time without a task of this entry after which an agent's reports may be reduced. An agent outside
-/// the home share is used only while that has no room.
+/// Time without a task of this entry after which the reports of an agent outside the home share are
+/// reduced. Such an agent is used only while the home share has no suitable one.
 const REDUCE_AFTER_IDLE: Duration = Duration::from_millis(100);
 
 /// Interval between two reviews of the report rates.
@@ -118,7 +118,7 @@
     }
 
     /// Determines the home share and reduces the reports of idle agents outside it. The home share
-    /// are the `frequent_reporters` agents of each service with the lowest rendezvous weights, so
+    /// are the `home_agents` agents of each service with the lowest rendezvous weights, so
     /// that different entries have different ones.
     pub(super) fn update_report_rates(&mut self, now: Monotonic) {
         if now < self.report_rates_due {
@@ -140,7 +140,7 @@
         serving.sort_unstable();
         for service in serving.chunk_by(|a, b| a.0 == b.0) {
             for (position, (_service, _weight, connection)) in service.iter().enumerate() {
-                let is_home = position < self.frequent_reporters;
+                let is_home = position < self.home_agents;
                 self.agents[*connection].is_home = is_home;
                 if is_home {
                     self.request_frequent_reports(*connection, now);
--- a/crates/core/src/spool/entry/selection.rs
+++ b/crates/core/src/spool/entry/selection.rs
@@ -12,8 +12,8 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-/// Share of the time left for a task within which its expected end has to lie for the agent to count
-/// as suitable. The rest covers run times longer than declared and a server that turns out full.
+/// Share of the time left for a task within which its expected end has to lie for the agent to
+/// count as suitable. The rest covers run times longer than declared and a server that turns out full.
 const SUITABLE_TIME_SHARE: f64 = 0.6;
 
 /// Factor on the lowest cost up to which agents are drawn from if none is suitable.
--- a/crates/core/tests/spool/faults.rs
+++ b/crates/core/tests/spool/faults.rs
@@ -178,7 +178,7 @@
                     safety.lease = Duration::from_millis(1);
                 }
                 let mut entry = Entry::new(me, safety, self.random.random())
-                    .with_frequent_reporters(self.scenario.frequent_reporters)
+                    .with_home_agents(self.scenario.home_agents)
                     .with_policy(self.scenario.policy);
                 entry.add_known_entries(&all);
                 entry.apply_newer_catalogue(Arc::new(catalogue()), "test", now);
--- a/crates/core/tests/spool/load.rs
+++ b/crates/core/tests/spool/load.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use ibisspool_core::spool::entry::{DEFAULT_FREQUENT_REPORTERS, Policy};
+use ibisspool_core::spool::entry::{DEFAULT_HOME_AGENTS, Policy};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -60,7 +60,7 @@
     pub phases: Vec<(u64, u64, f64, Option<usize>)>,
     pub faults: Vec<(u64, Fault)>,
     pub late_call_share: f64,
-    pub frequent_reporters: usize,
+    pub home_agents: usize,
     pub policy: Policy,
     /// Share of the callers that are sent to the first entry. The rest is spread over all entries.
     pub first_entry_share: f64,
@@ -153,7 +153,7 @@
         mutant: None,
         late_call_share: load.late_call_share,
         lost_answer_share: 0.0,
-        frequent_reporters: load.frequent_reporters,
+        home_agents: load.home_agents,
         policy: load.policy,
         first_entry_share: load.first_entry_share,
         coarse_agent_clock: false,
@@ -321,7 +321,7 @@
         phases: vec![(0, 100, factor, None)],
         faults: Vec::new(),
         late_call_share: 0.0,
-        frequent_reporters: DEFAULT_FREQUENT_REPORTERS,
+        home_agents: DEFAULT_HOME_AGENTS,
         policy: Policy::default(),
         first_entry_share: 0.0,
         early_leavers: (0, 0, 0.0),
--- a/crates/core/tests/spool/scenario.rs
+++ b/crates/core/tests/spool/scenario.rs
@@ -44,7 +44,7 @@
     /// Whether the monotonic clock of agents has a resolution of only a millisecond.
     pub coarse_agent_clock: bool,
     /// Number of agents that report frequently to an entry while it has no tasks there.
-    pub frequent_reporters: usize,
+    pub home_agents: usize,
     /// Faults with the time at which each is injected.
     pub faults: Vec<(u64, Fault)>,
     /// Jobs with the time of their first submission.
--- a/crates/core/tests/spool_contacts.rs
+++ b/crates/core/tests/spool_contacts.rs
@@ -88,7 +88,7 @@
 /// Returns an entry that gets full reports from one of its three agents and has asked the other two
 /// for reduced reporting, with the connections of those two.
 fn entry_with_one_watched_agent() -> (Entry, Vec<ConnectionKey>) {
-    let mut entry = new_entry().with_frequent_reporters(1);
+    let mut entry = new_entry().with_home_agents(1);
     let all: Vec<ConnectionKey> = ["agent-1", "agent-2", "agent-3"]
         .iter()
         .map(|name| connect_agent(&mut entry, name, 2, at_ms(0)))
--- a/crates/core/tests/spool_load.rs
+++ b/crates/core/tests/spool_load.rs
@@ -7,7 +7,7 @@
 #[path = "spool/world.rs"]
 mod world;
 
-use ibisspool_core::spool::entry::DEFAULT_FREQUENT_REPORTERS;
+use ibisspool_core::spool::entry::DEFAULT_HOME_AGENTS;
 use load::{Load, SECOND_US, measure_and_print, mixed_servers, steady_load};
 use world::Fault;
 
@@ -76,11 +76,11 @@
 }
 
 /// A deployment of 90 servers and 30 entries, where each entry needs only a few servers at a time.
-fn large_deployment(factor: f64, frequent_reporters: usize) -> Load {
+fn large_deployment(factor: f64, home_agents: usize) -> Load {
     Load {
         servers: mixed_servers(90),
         entries: 30,
-        frequent_reporters,
+        home_agents,
         arrival_seconds: 5,
         ..steady_load(factor)
     }
@@ -95,7 +95,7 @@
 
     let few = measure_and_print(
         "90 servers, few",
-        &large_deployment(0.6, DEFAULT_FREQUENT_REPORTERS),
+        &large_deployment(0.6, DEFAULT_HOME_AGENTS),
     );
 
     assert!(
@@ -117,14 +117,14 @@
 
 #[test]
 fn a_burst_in_a_large_deployment_uses_servers_with_reduced_reports() {
-    let burst = |frequent_reporters| Load {
+    let burst = |home_agents| Load {
         phases: vec![(0, 100, 0.6, None), (2, 4, 1.6, None)],
-        ..large_deployment(1.0, frequent_reporters)
+        ..large_deployment(1.0, home_agents)
     };
     let worth_of_all = measure_and_print("burst, 90 servers, all", &burst(90)).worth_share;
 
     let worth =
-        measure_and_print("burst, 90 servers, few", &burst(DEFAULT_FREQUENT_REPORTERS)).worth_share;
+        measure_and_print("burst, 90 servers, few", &burst(DEFAULT_HOME_AGENTS)).worth_share;
 
     assert!(worth >= worth_of_all - 0.02, "worth {worth}");
 }
--- a/crates/core/tests/spool_random.rs
+++ b/crates/core/tests/spool_random.rs
@@ -11,7 +11,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use ibisspool_core::spool::entry::{DEFAULT_FREQUENT_REPORTERS, Policy};
+use ibisspool_core::spool::entry::{DEFAULT_HOME_AGENTS, Policy};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use world::scenario::has_distinct_ids;
@@ -196,10 +196,10 @@
         first_entry_share: 0.0,
         coarse_agent_clock: seed.is_multiple_of(5),
         // In every other run only one agent is a frequent reporter.
-        frequent_reporters: if seed.is_multiple_of(2) {
+        home_agents: if seed.is_multiple_of(2) {
             1
         } else {
-            DEFAULT_FREQUENT_REPORTERS
+            DEFAULT_HOME_AGENTS
         },
         faults,
         jobs,
