test(review): show double runs after an executor's restart under its id

Looked for: what an agent takes for certain about its server's runs when the server's incarnation changes.

The case crashes each of three executors once under load. Each starts again at once under the id that it had. The agent starts tasks on the new life before it notices the change, then reports them as lost while they run.

--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -102,10 +102,13 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
-async def serve_http(address, handle):
-    """Serves `handle(method, target, headers, body)`, which returns a status and a JSON value."""
+async def serve_http(address, handle, channels=None):
+    """Serves `handle(method, target, headers, body)`, which returns a status and a JSON value.
+    `channels` is a set that holds the writers of the open channels, if given."""
+    channels = set() if channels is None else channels
 
     async def serve_connection(reader, writer):
+        channels.add(writer)
         try:
             while (message := await read_message(reader)) is not None:
                 first, headers, body = message
@@ -117,6 +120,7 @@
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            channels.discard(writer)
             writer.close()
 
     return await asyncio.start_server(serve_connection, *address)
@@ -252,11 +256,17 @@
         # All runs of the deployment, also those of other executors.
         self.runs = runs
         self.id = f"i-{random.randrange(16 ** 8):08x}"
+        self.state = "ready"
+        self.labels = ["a", "r1"]
+        self.channels = set()
+        self.tasks = []
+        self.boot()
+
+    def boot(self):
+        """Begins a life that knows nothing of the one before."""
         self.born = int(time.time() * 1_000)
         self.booted_at = time.monotonic()
         self.sequence = 0
-        self.state = "ready"
-        self.labels = ["a", "r1"]
         self.running = {}
         self.ended = []
         self.end_count = 0
@@ -265,13 +275,23 @@
         # Highest run of each task that was stopped or ended here.
         self.highest_gone = {}
         self.end_listed = asyncio.Event()
-        self.tasks = []
+
+    def crash_and_start_again(self):
+        """Ends this life with all its runs and channels, and begins another under the same id. The
+        next status report comes at its usual time."""
+        for run in self.running.values():
+            run.timer.cancel()
+            run.ended_at, run.how = self.record.now(), "crashed"
+        for writer in self.channels:
+            writer.transport.abort()
+        self.boot()
+        self.record.write(f"{self.name}: crashed and started again, born {self.born}")
 
     def clock_ms(self):
         return int((time.monotonic() - self.booted_at) * 1_000)
 
     async def start(self):
-        self.server = await serve_http(self.address, self.handle)
+        self.server = await serve_http(self.address, self.handle, self.channels)
         self.tasks = [asyncio.create_task(self.send_status_reports()),
                       asyncio.create_task(self.watch_lease())]
 
