test(review): make the restart case stricter on itself

The executors of case 3 now send a status report at once after a restart, and more of them crash: 45 crashes of one at a time, 0.4 s apart.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,13 +9,14 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common"))
 import standin  # noqa: E402
 
-# Jobs as those of `reserva-hold`, at a rate that uses two thirds of the executors' room.
-JOBS_PER_S = 50
-TASKS_PER_JOB = 2
-WORK_MS = 200
+# Jobs like those of `fecha-check`, at a rate that uses two thirds of the executors' room.
+JOBS_PER_S = 80
+TASKS_PER_JOB = 4
+WORK_MS = 60
 CALLER_WAIT_MS = 1_500
-# Each executor crashes once, one after the other.
-TIME_BETWEEN_CRASHES_S = 2
+# Crashes, of one executor after the other.
+CRASHES = 45
+TIME_BETWEEN_CRASHES_S = 0.4
 
 
 async def submit_jobs(parts, stopping):
@@ -33,10 +34,10 @@
 async def check(parts, record):
     stopping = asyncio.Event()
     callers = asyncio.create_task(submit_jobs(parts, stopping))
-    for executor in parts.executors:
+    for number in range(CRASHES):
         await asyncio.sleep(TIME_BETWEEN_CRASHES_S)
         if standin.is_trouble_on():
-            executor.crash_and_start_again()
+            parts.executors[number % len(parts.executors)].crash_and_start_again()
     await asyncio.sleep(TIME_BETWEEN_CRASHES_S)
     stopping.set()
     await callers
--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -40,6 +40,8 @@
 STOP_TIME_S = 0.010
 # Interval at which an executor looks for an expired lease.
 LEASE_CHECK_S = 0.002
+# Pause of an executor after a status report without an answer.
+REPORT_RETRY_S = 0.1
 # Longest time until the whole deployment serves a job after its start.
 START_TIMEOUT_S = 20
 # Ends that one answer to a hold lists at most.
@@ -277,20 +279,22 @@
         self.end_listed = asyncio.Event()
 
     def crash_and_start_again(self):
-        """Ends this life with all its runs and channels, and begins another under the same id. The
-        next status report comes at its usual time."""
+        """Ends this life with all its runs and channels, and begins another under the same id, with a
+        status report at once."""
         for run in self.running.values():
             run.timer.cancel()
             run.ended_at, run.how = self.record.now(), "crashed"
         for writer in self.channels:
             writer.transport.abort()
         self.boot()
+        self.has_booted.set()
         self.record.write(f"{self.name}: crashed and started again, born {self.born}")
 
     def clock_ms(self):
         return int((time.monotonic() - self.booted_at) * 1_000)
 
     async def start(self):
+        self.has_booted = asyncio.Event()
         self.server = await serve_http(self.address, self.handle, self.channels)
         self.tasks = [asyncio.create_task(self.send_status_reports()),
                       asyncio.create_task(self.watch_lease())]
@@ -311,7 +315,12 @@
             body = json.dumps(self.status_report()).encode()
             target = f"/api/Instances.Heartbeat/{self.id}"
             answer = await call(self.agent_address, "POST", target, {}, body, 1)
-            await asyncio.sleep(HEARTBEAT_MS / 1_000 if answer else 0.1)
+            pause_s = HEARTBEAT_MS / 1_000 if answer else REPORT_RETRY_S
+            try:
+                await asyncio.wait_for(self.has_booted.wait(), pause_s)
+            except asyncio.TimeoutError:
+                pass
+            self.has_booted.clear()
 
     async def watch_lease(self):
         while True:
