fix(spool): a restart under the same id ends only the runs that it took with it

Cause: the agent sends a start before it knows of the restart; it names the id, so the next incarnation accepts it. When an announcement or a listing then shows the later start time, the agent ends all its runs as lost, that one included, although the listing at hand names it as running. What proves that the incarnation before is gone was taken as proof for each run.

Ruled out: the entries, which start a task elsewhere only after the agent's report; Expect-Instance, which names the id and cannot tell the two boots apart.

Change: the listing that shows the next incarnation decides for each run. Lost are those whose start named another id, and those whose start had settled before the lists were requested and that are neither running nor ended in them. The others are kept, with their stops sent again: an answer to a stop counts only with the newest fencing token. A start refused for an older token no longer raises the token.

Why it works: a start that settled before the lists were requested is either in them or not at this server; one that has not settled gets its own answer, and the raised token fences it off.

--- a/crates/agent/src/spool/driver.rs
+++ b/crates/agent/src/spool/driver.rs
@@ -150,7 +150,7 @@
                 let driver = Rc::clone(self);
                 spawn_local(async move {
                     if driver.executor.stop(name, number, token).await {
-                        driver.apply(|agent, now| agent.handle_stop_answer(number, now));
+                        driver.apply(|agent, now| agent.handle_stop_answer(number, token, now));
                     } else {
                         driver.record_unanswered_call();
                     }
--- a/crates/core/src/spool/agent/backend.rs
+++ b/crates/core/src/spool/agent/backend.rs
@@ -87,6 +87,9 @@
     /// Set by [`FAILURES_TO_UNREACHABLE`] failed calls in a row, cleared by the next answer.
     pub is_unreachable: bool,
     pub consecutive_failures: u32,
+    /// When the last call failed or got no answer, `None` once run lists that were requested later
+    /// have arrived.
+    pub unanswered_at: Option<Monotonic>,
     /// Last reading of the server's clock in milliseconds, and when the agent received it.
     pub clock_reading: Option<(u64, Monotonic)>,
     /// Sequence number up to which the agent has processed the ends.
@@ -123,8 +126,9 @@
         }
     }
 
-    /// Ends as lost the runs that were sent to the server and for which `is_gone` holds. That is only
-    /// safe for runs that certainly no longer run there.
+    /// Ends as lost the runs that were sent to the server and for which `is_gone` holds: those that
+    /// certainly neither run nor will run there. A start request that has not settled is on its way
+    /// and may still reach whichever process listens next.
     pub(super) fn finish_lost_runs<F>(&mut self, is_gone: F, now: Now)
     where
         F: Fn(&Run) -> bool,
@@ -146,17 +150,23 @@
         let token = self.fencing_token;
         let lease_until_ms = self.lease_end_ms(now.mono);
         let backend = self.backend.as_ref()?;
-        // After repeated failures the lease is not renewed: a server whose answers are lost keeps
-        // it no longer than its last answer allows.
-        let renews_lease = self.started_run_count() > 0
-            && backend.consecutive_failures < FAILURES_TO_UNREACHABLE
-            && !self.has_overdue_stop(now.mono);
+        // After a call without an answer the server may be another process under the same id, with
+        // a clock and numbers of ends of its own. Until it has answered, a poll only reads the run
+        // lists. So a server whose answers are lost also keeps its lease no longer than its last
+        // answer allows.
+        let has_answered = backend.unanswered_at.is_none();
+        let renews_lease =
+            self.started_run_count() > 0 && has_answered && !self.has_overdue_stop(now.mono);
         let hold = LongPoll {
             incarnation: Arc::clone(&backend.incarnation),
             token,
-            acknowledged_end: backend.acknowledged_end,
+            acknowledged_end: if has_answered {
+                backend.acknowledged_end
+            } else {
+                0
+            },
             lease_until_ms: lease_until_ms.filter(|_| renews_lease),
-            max_wait: if self.has_read_run_lists {
+            max_wait: if self.has_read_run_lists && has_answered {
                 MAX_POLL_WAIT
             } else {
                 Duration::ZERO
@@ -195,26 +205,36 @@
             return;
         };
         let (name, sent_at) = (run.start.name, run.start_sent_at);
-        if run.phase == Phase::Stopping {
+        run.start_settled_at.get_or_insert(now.mono);
+        let has_newest_token = run.fencing_token == self.fencing_token;
+        let is_stopping = run.phase == Phase::Stopping;
+        if !has_newest_token && answer == StartAnswer::Started {
+            self.actions.push(Action::PollNow);
+        }
+        if answer == StartAnswer::Silent {
+            self.record_unanswered_call(now.mono);
+            self.actions.push(Action::PollNow);
+        }
+        if is_stopping {
             // A stop request has been sent meanwhile; its confirmation ends the run.
             return;
         }
+        let phase = self.runs[key].phase;
         match answer {
             StartAnswer::Started => {
-                if run.phase != Phase::Running {
+                if phase != Phase::Running {
                     self.set_phase(key, Phase::Running, now.mono);
                 }
                 return;
             }
-            StartAnswer::Fenced => self.raise_fencing_token(),
-            StartAnswer::Refused => {}
+            StartAnswer::Fenced if has_newest_token => self.raise_fencing_token(),
+            StartAnswer::Fenced | StartAnswer::Refused => {}
             StartAnswer::Absent => self.record_failed_call(Some(sent_at), now),
             StartAnswer::NotSent => self.record_failed_call(None, now),
             StartAnswer::Silent => {
-                if run.phase == Phase::Starting {
+                if phase == Phase::Starting {
                     self.set_phase(key, Phase::Unconfirmed, now.mono);
                     self.log(LogLine::warn("A start request got no answer.").with("job", name));
-                    self.actions.push(Action::PollNow);
                 }
                 return;
             }
@@ -264,6 +284,8 @@
             return;
         };
         backend.consecutive_failures += 1;
+        let is_first = backend.unanswered_at.is_none();
+        backend.unanswered_at = Some(now.mono);
         if backend.consecutive_failures >= FAILURES_TO_UNREACHABLE && !backend.is_unreachable {
             backend.is_unreachable = true;
             let line = LogLine::warn("The backend server is unreachable.")
@@ -277,6 +299,15 @@
             self.unknown_runs
                 .retain(|unknown| unknown.found_at >= call_sent_at);
         }
+        if is_first {
+            self.actions.push(Action::PollNow);
+        }
+    }
+
+    fn record_unanswered_call(&mut self, now: Monotonic) {
+        if let Some(backend) = self.backend.as_mut() {
+            backend.unanswered_at = Some(now);
+        }
     }
 
     /// Ends all runs at the server once its lease has certainly expired, whatever the rate of its
--- a/crates/core/src/spool/agent/incarnation.rs
+++ b/crates/core/src/spool/agent/incarnation.rs
@@ -8,9 +8,10 @@
 use std::time::Duration;
 
 use super::super::log_line::LogLine;
+use super::super::message::End;
 use super::backend::Backend;
 use super::reconcile::Listing;
-use super::{Action, Agent, Announcement, Claims, Health, LongPoll};
+use super::{Action, Agent, Announcement, Claims, Health, LongPoll, Phase, RunKey};
 use crate::time::{Monotonic, Now};
 
 /// Interval between two checks of the same claim: longer than an unanswered call takes to fail.
@@ -219,7 +220,7 @@
             known.is_some_and(|backend| backend.incarnation == listing.incarnation);
         if let Some(index) = self.claims.iter().position(is_confirmed) {
             let announcement = self.claims.remove(index).announcement;
-            self.adopt_incarnation(announcement, listing, now);
+            self.adopt_incarnation(announcement, listing, poll_sent_at, now);
             true
         } else if restarts_under_its_id && let Some(backend) = known {
             // The listing does not tell the capacity, which may differ from the one before. Until
@@ -233,7 +234,7 @@
                 labels: backend.labels.clone(),
                 ready: false,
             };
-            self.adopt_incarnation(unannounced, listing, now);
+            self.adopt_incarnation(unannounced, listing, poll_sent_at, now);
             true
         } else {
             self.drop_claims(|claim| {
@@ -244,8 +245,14 @@
         }
     }
 
-    /// Switches to an incarnation whose answer to a poll is `listing`.
-    fn adopt_incarnation(&mut self, announcement: Announcement, listing: &Listing, now: Now) {
+    /// Switches to an incarnation whose answer to a poll sent at `poll_sent_at` is `listing`.
+    fn adopt_incarnation(
+        &mut self,
+        announcement: Announcement,
+        listing: &Listing,
+        poll_sent_at: Monotonic,
+        now: Now,
+    ) {
         let line = LogLine::new("A new incarnation of the backend server started.")
             .with("incarnation", &announcement.incarnation)
             .with("born", listing.started_at_ms)
@@ -254,7 +261,7 @@
             .with("cpu", announcement.capacity.cpu_millicores);
         self.log(line);
         if self.backend.is_some() {
-            self.finish_lost_runs(|_run| true, now);
+            self.finish_runs_of_previous_incarnation(listing, poll_sent_at, now);
             self.fence_off_previous_incarnation();
         }
         self.unknown_runs.clear();
@@ -271,11 +278,51 @@
             adopted_at: now.mono,
             is_unreachable: false,
             consecutive_failures: 0,
+            unanswered_at: None,
             clock_reading: None,
             acknowledged_end: 0,
-            lease_renewed_at: None,
+            lease_renewed_at: (self.started_run_count() > 0).then_some(now.mono),
         });
         self.decline_queued_if_closed(now);
         self.schedule_load_reports(now.mono);
     }
+
+    /// Ends as lost the runs that the incarnation before took with it, as `listing` of the next one
+    /// shows. It was requested at `poll_sent_at`.
+    ///
+    /// The next incarnation refuses a start that names another one. Under the same id it may have
+    /// accepted starts before the agent knew of it: those it lists, and those still on their way
+    /// when the lists were requested.
+    fn finish_runs_of_previous_incarnation(
+        &mut self,
+        listing: &Listing,
+        poll_sent_at: Monotonic,
+        now: Now,
+    ) {
+        self.finish_lost_runs(
+            |run| {
+                let names_listed_incarnation =
+                    run.incarnation.as_ref() == Some(&listing.incarnation);
+                let had_settled = run.start_settled_at.is_some_and(|at| at < poll_sent_at);
+                !names_listed_incarnation
+                    || (had_settled && !listing.contains_run(run.start_number))
+            },
+            now,
+        );
+        let kept: Vec<RunKey> = self.runs_by_start_number.values().copied().collect();
+        for key in kept {
+            let run = &mut self.runs[key];
+            // A stop that the incarnation before answered has no effect on the next one, which may
+            // already have run the task and forgotten its end.
+            run.stop_answered_at = None;
+            run.stop_sent_at = None;
+            run.end_if_stopped = End::Lost;
+            let line = LogLine::new("A new incarnation may run a task that was sent before.")
+                .with("job", run.start.name)
+                .with("run", run.start_number)
+                .with("listed", listing.contains_run(run.start_number))
+                .with("stopping", run.phase == Phase::Stopping);
+            self.log(line);
+        }
+    }
 }
--- a/crates/core/src/spool/agent/reconcile.rs
+++ b/crates/core/src/spool/agent/reconcile.rs
@@ -48,6 +48,14 @@
     pub ended: Vec<Ended>,
 }
 
+impl Listing {
+    /// Returns whether the lists show the run with the start number `number` as running or ended.
+    pub(super) fn contains_run(&self, number: u64) -> bool {
+        self.running.iter().any(|run| run.start_number == number)
+            || self.ended.iter().any(|end| end.start_number == number)
+    }
+}
+
 impl Agent {
     /// Handles the answer to a long poll that was sent at `poll_sent_at`. An answer that is older
     /// than the last one handled is ignored, as is one of an earlier incarnation.
@@ -56,7 +64,7 @@
         if !self.identify_backend(listing, poll_sent_at, now) {
             return;
         }
-        self.record_answer(listing.clock_ms, now);
+        self.record_answer(listing.clock_ms, poll_sent_at, now);
         self.process_ends(listing, now);
         self.reconcile_running(listing, poll_sent_at, now);
         if !self.has_read_run_lists {
@@ -72,11 +80,14 @@
         self.send_due_reports(now.mono);
     }
 
-    fn record_answer(&mut self, clock_ms: u64, now: Now) {
+    fn record_answer(&mut self, clock_ms: u64, poll_sent_at: Monotonic, now: Now) {
         let Some(backend) = self.backend.as_mut() else {
             return;
         };
         backend.consecutive_failures = 0;
+        if backend.unanswered_at.is_some_and(|at| at <= poll_sent_at) {
+            backend.unanswered_at = None;
+        }
         backend.clock_reading = Some((clock_ms, now.mono));
         if backend.is_unreachable {
             backend.is_unreachable = false;
--- a/crates/core/src/spool/agent/run.rs
+++ b/crates/core/src/spool/agent/run.rs
@@ -1,5 +1,6 @@
 //! Life cycle of one task on the agent, from its arrival to its end.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::super::job::TaskName;
@@ -45,8 +46,15 @@
     pub phase_since: Monotonic,
     /// Start number, which identifies this run at the backend server; 0 while queued.
     pub start_number: u64,
+    /// Incarnation of the server that the start request names, `None` while queued.
+    pub incarnation: Option<Arc<str>>,
+    /// Fencing token of the start request; 0 while queued.
+    pub fencing_token: u64,
     /// When the start request was sent.
     pub start_sent_at: Monotonic,
+    /// When the start request got its answer or was given up, `None` while it is on its way. Until
+    /// then it may reach whichever process listens at the server's address.
+    pub start_settled_at: Option<Monotonic>,
     /// Share of the work that is done, in percent, and when that last grew.
     pub progress: (u8, Monotonic),
     /// When the last stop request was sent.
@@ -164,7 +172,13 @@
 
     /// Handles the backend server's answer to a stop request for the run with the start number
     /// `number`. A start request that arrives after that answer is refused by the server.
-    pub fn handle_stop_answer(&mut self, number: u64, now: Now) {
+    ///
+    /// An answer to a request with an earlier fencing token may come from the incarnation before,
+    /// so it does not count; the stop request is sent again.
+    pub fn handle_stop_answer(&mut self, number: u64, token: u64, now: Now) {
+        if token != self.fencing_token {
+            return;
+        }
         if let Some(&key) = self.runs_by_start_number.get(&number)
             && let Some(run) = self.runs.get_mut(key)
         {
--- a/crates/core/src/spool/agent/start_queue.rs
+++ b/crates/core/src/spool/agent/start_queue.rs
@@ -68,7 +68,7 @@
             && self
                 .backend
                 .as_ref()
-                .is_some_and(|backend| !backend.is_unreachable)
+                .is_some_and(|backend| !backend.is_unreachable && backend.unanswered_at.is_none())
     }
 
     fn start_run(&mut self, key: RunKey, now: Now) {
@@ -86,6 +86,8 @@
         let run = &mut self.runs[key];
         run.phase = Phase::Starting;
         run.phase_since = now.mono;
+        run.incarnation = Some(Arc::clone(&incarnation));
+        run.fencing_token = token;
         run.start_sent_at = now.mono;
         run.progress = (0, now.mono);
         run.start_number = number;
--- a/crates/core/tests/spool/connections.rs
+++ b/crates/core/tests/spool/connections.rs
@@ -168,8 +168,10 @@
                     agent.handle_start_answer(key, answer, now);
                 });
             }
-            Message::StopAnswer(number) => {
-                self.drive_agent(index, |agent, now| agent.handle_stop_answer(number, now));
+            Message::StopAnswer(number, token) => {
+                self.drive_agent(index, |agent, now| {
+                    agent.handle_stop_answer(number, token, now);
+                });
             }
             Message::Listing(listing, asked_at) => {
                 self.drive_agent(index, |agent, now| {
--- a/crates/core/tests/spool/event.rs
+++ b/crates/core/tests/spool/event.rs
@@ -77,6 +77,8 @@
     RestoreSpeed(usize, f64),
     /// A backend server announces its state to its agent.
     Announce(usize),
+    /// A backend server announces its state to its agent once, besides its regular announcements.
+    AnnounceOnce(usize),
     /// An agent sends its next lease renewal.
     NextRenewal {
         agent: usize,
@@ -99,7 +101,8 @@
     Connected(u64),
     Disconnected(u64),
     StartAnswer(agent::RunKey, StartAnswer),
-    StopAnswer(u64),
+    /// Answer to the stop of a run: its start number, and the fencing token of the stop.
+    StopAnswer(u64, u64),
     /// Answer to a lease renewal, with the agent's time when the renewal was sent.
     Listing(Listing, u64),
     /// A lease renewal got no answer: the agent's time when it was sent, and whether the connection
--- a/crates/core/tests/spool/faults.rs
+++ b/crates/core/tests/spool/faults.rs
@@ -76,22 +76,12 @@
                 self.incarnations[index] = incarnation_started_at(started_us);
                 self.announce_server(index);
             }
+            Fault::RestartServerUnderItsName(index, announced_after_us) => {
+                self.restart_server(index);
+                self.schedule_after(announced_after_us, Event::AnnounceOnce(index));
+            }
             Fault::ForeignAnnouncement(index, has_known_name) => {
-                let incarnation = if has_known_name {
-                    Arc::clone(&self.incarnations[index])
-                } else {
-                    Arc::from("another-writer")
-                };
-                let foreign = Announcement {
-                    incarnation,
-                    started_at_ms: self.now_us.max(3),
-                    sequence: 1,
-                    service: Arc::from("another-service"),
-                    capacity: Resources::default(),
-                    labels: Vec::new(),
-                    ready: true,
-                };
-                self.deliver_announcement(index, foreign);
+                self.announce_another_writer(index, has_known_name);
             }
             Fault::CrashServer(index, duration_us) => {
                 self.break_server_connections(index);
@@ -130,6 +120,26 @@
         self.agents[index].last_announcement = 0;
     }
 
+    /// Delivers an announcement that names no server of the run, with the name of the server's
+    /// incarnation or another one.
+    fn announce_another_writer(&mut self, index: usize, has_known_name: bool) {
+        let incarnation = if has_known_name {
+            Arc::clone(&self.incarnations[index])
+        } else {
+            Arc::from("another-writer")
+        };
+        let foreign = Announcement {
+            incarnation,
+            started_at_ms: self.now_us.max(3),
+            sequence: 1,
+            service: Arc::from("another-service"),
+            capacity: Resources::default(),
+            labels: Vec::new(),
+            ready: true,
+        };
+        self.deliver_announcement(index, foreign);
+    }
+
     /// Ends the lease renewals that wait at a backend server without an answer.
     fn break_server_connections(&mut self, index: usize) {
         let boot = self.agents[index].boot;
@@ -357,7 +367,7 @@
                 | Message::Connected(id)
                 | Message::Disconnected(id) => Self::Connection(*id),
                 Message::StartAnswer(..)
-                | Message::StopAnswer(_)
+                | Message::StopAnswer(..)
                 | Message::Listing(..)
                 | Message::RenewalFailed(..)
                 | Message::RenewalMisdirected(..)
--- a/crates/core/tests/spool/scenario.rs
+++ b/crates/core/tests/spool/scenario.rs
@@ -100,6 +100,9 @@
     ResetConnection(usize, usize),
     /// Replaces a backend server by a new incarnation without tasks.
     RestartServer(usize),
+    /// Replaces a backend server by a new incarnation under the name that it had. It announces
+    /// itself after this time.
+    RestartServerUnderItsName(usize, u64),
     /// An agent gets an announcement of another writer: with the name of its server's incarnation,
     /// or with another one.
     ForeignAnnouncement(usize, bool),
--- a/crates/core/tests/spool/servers.rs
+++ b/crates/core/tests/spool/servers.rs
@@ -170,7 +170,7 @@
                 if !accepted {
                     return;
                 }
-                Message::StopAnswer(number)
+                Message::StopAnswer(number, token)
             }
             Call::RenewLease { hold, id, .. } => {
                 let is_misdirected = hold.incarnation != self.incarnations[index];
--- a/crates/core/tests/spool/world.rs
+++ b/crates/core/tests/spool/world.rs
@@ -421,6 +421,7 @@
                 self.announce_server(agent);
                 self.schedule_after(1_500 * MS, Event::Announce(agent));
             }
+            Event::AnnounceOnce(agent) => self.announce_server(agent),
             Event::NextRenewal { agent, boot } => self.continue_renewals(agent, boot),
         }
     }
--- a/crates/core/tests/spool_agent.rs
+++ b/crates/core/tests/spool_agent.rs
@@ -196,7 +196,7 @@
         take_outcomes(&mut agent).is_empty(),
         "the stop request has not been answered yet"
     );
-    agent.handle_stop_answer(number, at(45));
+    agent.handle_stop_answer(number, agent.fencing_token(), at(45));
     agent.handle_listing(&empty_listing(1, at(46)), at(46).mono, at(46));
 
     let outcomes = take_outcomes(&mut agent);
--- a/crates/core/tests/spool_incarnation.rs
+++ b/crates/core/tests/spool_incarnation.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ibisspool_core::spool::agent::{
-    Action, Agent, Announcement, ConnectionKey, Listing, RunKey, Running, StartAnswer,
+    Action, Agent, Announcement, ConnectionKey, Ended, Listing, RunKey, Running, StartAnswer,
 };
 use ibisspool_core::spool::job::{Id, Resources, TaskName};
 use ibisspool_core::spool::message::{
@@ -295,3 +295,138 @@
 
     assert_eq!(take_ends(&mut agent), []);
 }
+
+/// Guards against double runs after a restart under the same name: runs that the next incarnation
+/// had accepted before the agent knew of it were reported as lost.
+#[test]
+fn runs_that_the_next_incarnation_accepted_go_on() {
+    // The server restarts at 20 ms. Job 1 ran before; jobs 2 and 3 reach the next incarnation, which
+    // answers the start of job 3 after it has listed its runs.
+    for is_announced in [true, false] {
+        let (mut agent, link) = connected_agent();
+        start_and_confirm(&mut agent, link, 1, at(10));
+        let (_key, second) = start_and_confirm(&mut agent, link, 2, at(21));
+        let (third_key, third) = start(&mut agent, link, 3, at(22));
+        agent.take_actions();
+
+        if is_announced {
+            agent.handle_announcement(announcement(NAME, REBORN, 1), at(23));
+        }
+        let lists = Listing {
+            running: vec![running(2, second)],
+            ..empty_listing(NAME, REBORN, 4)
+        };
+        agent.handle_listing(&lists, at(23).mono, at(24));
+        let lost = take_ends(&mut agent);
+        agent.handle_start_answer(third_key, StartAnswer::Started, at(25));
+        let done = |sequence, start_number| Ended {
+            sequence,
+            start_number,
+            end: End::Done,
+        };
+        let ends = Listing {
+            ended: vec![done(1, second), done(2, third)],
+            ..empty_listing(NAME, REBORN, 60)
+        };
+        agent.handle_listing(&ends, at(80).mono, at(81));
+
+        assert_eq!(lost, [(1, End::Lost)], "announced: {is_announced}");
+        let both_done = [(2, End::Done), (3, End::Done)];
+        assert_eq!(
+            take_ends(&mut agent),
+            both_done,
+            "announced: {is_announced}"
+        );
+    }
+}
+
+/// Guards against a second run of a task that the next incarnation had completed before the agent
+/// knew of it: it was reported as lost.
+#[test]
+fn a_run_that_the_next_incarnation_lists_as_done_is_done() {
+    let (mut agent, link) = connected_agent();
+    let (_key, number) = start_and_confirm(&mut agent, link, 1, at(21));
+
+    let ended = Ended {
+        sequence: 1,
+        start_number: number,
+        end: End::Done,
+    };
+    let lists = Listing {
+        ended: vec![ended],
+        ..empty_listing(NAME, REBORN, 70)
+    };
+    agent.handle_listing(&lists, at(90).mono, at(91));
+
+    assert_eq!(take_ends(&mut agent), [(1, End::Done)]);
+}
+
+/// Guards against requests to the next incarnation before the agent knows of it: they named ends of
+/// runs and a lease end that were counted by the incarnation before.
+#[test]
+fn after_a_failed_call_the_agent_only_reads_the_run_lists_until_they_arrive() {
+    let (mut agent, link) = connected_agent();
+    let (_key, number) = start_and_confirm(&mut agent, link, 1, at(10));
+    let ended = Ended {
+        sequence: 7,
+        start_number: number,
+        end: End::Done,
+    };
+    let ends = Listing {
+        ended: vec![ended],
+        ..empty_listing(NAME, BORN, 520)
+    };
+    agent.handle_listing(&ends, at(12).mono, at(13));
+    start_and_confirm(&mut agent, link, 2, at(14));
+    agent.take_actions();
+
+    agent.handle_failed_poll(false, at(13).mono, at(20));
+    let look = agent.next_poll(at(20)).expect("the server is known");
+    send(&mut agent, link, 3, at(21));
+    let actions = agent.take_actions();
+    let lists = Listing {
+        running: vec![running(2, 1_000_014)],
+        ..empty_listing(NAME, BORN, 530)
+    };
+    agent.handle_listing(&lists, at(21).mono, at(22));
+    let after = agent.next_poll(at(23)).expect("the server is known");
+
+    assert!(actions.contains(&Action::PollNow));
+    assert!(!actions.iter().any(|a| matches!(a, Action::Start { .. })));
+    assert_eq!((look.acknowledged_end, look.lease_until_ms), (0, None));
+    assert_eq!(look.max_wait, Duration::ZERO);
+    assert_eq!(take_started_jobs(&mut agent), [3]);
+    assert_eq!(after.acknowledged_end, 7);
+    assert!(after.lease_until_ms.is_some());
+}
+
+/// Guards against double runs by a stop that the incarnation before had answered: the start reached
+/// the next one, which has not heard of the stop.
+#[test]
+fn a_stop_that_the_previous_incarnation_answered_is_sent_to_the_next_one_too() {
+    let (mut agent, link) = connected_agent();
+    let (_key, number) = start(&mut agent, link, 1, at(10));
+    let cancel = Order {
+        cancels: vec![DispatchId(1)],
+        ..order(2, at(11))
+    };
+    agent.handle_order(link, cancel, at(11));
+    let previous_token = agent.fencing_token();
+    agent.handle_stop_answer(number, previous_token, at(12));
+    agent.take_actions();
+
+    agent.handle_listing(&empty_listing(NAME, REBORN, 2), at(13).mono, at(14));
+    agent.handle_stop_answer(number, previous_token, at(14));
+    let actions = agent.take_actions();
+    let stops_again = actions
+        .iter()
+        .any(|action| matches!(action, Action::Stop { number: n, .. } if *n == number));
+    agent.handle_listing(&empty_listing(NAME, REBORN, 4), at(15).mono, at(16));
+    let unconfirmed = take_ends(&mut agent);
+    agent.handle_stop_answer(number, agent.fencing_token(), at(17));
+    agent.handle_listing(&empty_listing(NAME, REBORN, 7), at(18).mono, at(19));
+
+    assert!(stops_again);
+    assert_eq!(unconfirmed, []);
+    assert_eq!(take_ends(&mut agent), [(1, End::Lost)]);
+}
--- a/crates/core/tests/spool_random.rs
+++ b/crates/core/tests/spool_random.rs
@@ -105,12 +105,18 @@
     crashes.collect()
 }
 
-/// Draws announcements of another writer while jobs run. A separate random generator keeps the other faults of a seed as they are.
+/// Draws restarts of backend servers under their names, and announcements of another writer, while
+/// jobs run. A separate random generator keeps the other faults of a seed as they are.
 fn draw_unclear_incarnations(seed: u64, servers: usize) -> Vec<(u64, Fault)> {
     let mut random = SmallRng::seed_from_u64(!seed);
     let faults = (0..random.random_range(2..9)).map(|_| {
         let server = random.random_range(0..servers);
-        let fault = Fault::ForeignAnnouncement(server, random.random_bool(0.5));
+        let fault = if random.random_bool(0.7) {
+            let announced_after_us = [0, 5, 100, 1_500][random.random_range(0..4)] * MS;
+            Fault::RestartServerUnderItsName(server, announced_after_us)
+        } else {
+            Fault::ForeignAnnouncement(server, random.random_bool(0.5))
+        };
         (random.random_range(500_000..5_000_000), fault)
     });
     faults.collect()
