fix(spool): a refused connection ends no run whose start is on its way

What callers could see: a task running twice until its server listed the first run as unknown. Shown in virtual time, not with real processes.

The agent ended all runs whose start request it had sent before that call, but each call opens its own connection, and a start that is on its way can reach the process that listens next.

Evidence: a_refused_connection_ends_no_run_whose_start_request_is_on_its_way fails on the commit before.

Change: only runs whose start request had settled before the refused call was sent are ended. The answer to a start that is on its way decides about its own run.

--- a/crates/core/src/spool/agent/backend.rs
+++ b/crates/core/src/spool/agent/backend.rs
@@ -276,9 +276,9 @@
     /// Records a call to the server that got no answer. `refused_call_sent_at` is when the call was
     /// sent if its connection was refused.
     ///
-    /// A refused connection shows that no server process was left, so that all runs sent to it
-    /// before that call are lost. Runs sent since may be with a new process: the refusal can reach
-    /// the agent after the announcement of the next incarnation.
+    /// A refused connection shows that no server process was left, so that all runs whose start
+    /// requests had settled before that call are lost. Others may be with a new process, or reach
+    /// it later: the refusal can reach the agent after the answers of the next incarnation.
     fn record_failed_call(&mut self, refused_call_sent_at: Option<Monotonic>, now: Now) {
         let Some(backend) = self.backend.as_mut() else {
             return;
@@ -295,7 +295,10 @@
             self.schedule_load_reports(now.mono);
         }
         if let Some(call_sent_at) = refused_call_sent_at {
-            self.finish_lost_runs(|run| run.start_sent_at < call_sent_at, now);
+            self.finish_lost_runs(
+                |run| run.start_settled_at.is_some_and(|at| at < call_sent_at),
+                now,
+            );
             self.unknown_runs
                 .retain(|unknown| unknown.found_at >= call_sent_at);
         }
--- a/crates/core/tests/spool_incarnation.rs
+++ b/crates/core/tests/spool_incarnation.rs
@@ -430,3 +430,25 @@
     assert_eq!(unconfirmed, []);
     assert_eq!(take_ends(&mut agent), [(1, End::Lost)]);
 }
+
+/// Guards against double runs after a refused connection: a start request that was still on its way
+/// reached the process that listened next.
+#[test]
+fn a_refused_connection_ends_no_run_whose_start_request_is_on_its_way() {
+    let (mut agent, link) = connected_agent();
+    let (key, number) = start(&mut agent, link, 1, at(10));
+
+    // The poll was refused before the server listened again; the start was accepted after that,
+    // and its answer arrives first.
+    agent.handle_start_answer(key, StartAnswer::Started, at(13));
+    agent.handle_failed_poll(true, at(11).mono, at(14));
+    let ends = take_ends(&mut agent);
+    let lists = Listing {
+        running: vec![running(1, number)],
+        ..empty_listing(NAME, REBORN, 3)
+    };
+    agent.handle_listing(&lists, at(15).mono, at(16));
+
+    assert_eq!(ends, []);
+    assert_eq!(take_ends(&mut agent), []);
+}
