fix(spool): a lease that may be on another clock ends with the longest lease

What callers could see: a task running twice for up to 0.4 s, after a restart of its server under the same id and calls without answers for 0.6 s. Shown in virtual time, not with real processes.

Evidence: a_run_that_was_never_listed_ends_only_with_the_longest_lease and runs_of_a_server_that_started_again_end_only_with_the_longest_lease fail on the commit before.

Change: a run that the known incarnation has never listed, and all runs kept over a restart, end only when the longest lease that the platform grants (--longest-lease-ms) has certainly run out. Runs that were listed end as before, so a silent server's tasks start elsewhere no later.

--- a/crates/core/src/spool/agent/backend.rs
+++ b/crates/core/src/spool/agent/backend.rs
@@ -96,6 +96,9 @@
     pub acknowledged_end: u64,
     /// When the last message that renews the lease was sent.
     pub lease_renewed_at: Option<Monotonic>,
+    /// Until when the server may hold a lease of the longest duration, from a start request whose
+    /// lease end was counted on the clock of the incarnation before.
+    pub long_lease_until: Option<Monotonic>,
 }
 
 impl Backend {
@@ -208,7 +211,8 @@
         run.start_settled_at.get_or_insert(now.mono);
         let has_newest_token = run.fencing_token == self.fencing_token;
         let is_stopping = run.phase == Phase::Stopping;
-        if !has_newest_token && answer == StartAnswer::Started {
+        if !has_newest_token && matches!(answer, StartAnswer::Started | StartAnswer::Silent) {
+            self.allow_for_long_lease(now.mono);
             self.actions.push(Action::PollNow);
         }
         if answer == StartAnswer::Silent {
@@ -313,16 +317,41 @@
         }
     }
 
-    /// Ends all runs at the server once its lease has certainly expired, whatever the rate of its
+    /// Allows for a lease of the longest duration, since a start request that named an end on the
+    /// clock of an earlier incarnation may have been accepted just now.
+    fn allow_for_long_lease(&mut self, now: Monotonic) {
+        let until = now.plus(self.safety.longest_lease_duration());
+        if let Some(backend) = self.backend.as_mut() {
+            backend.long_lease_until = backend.long_lease_until.max(Some(until));
+        }
+    }
+
+    /// Ends the runs at the server whose lease has certainly expired, whatever the rate of its
     /// clock.
+    ///
+    /// The end of a lease was counted on the clock of the known incarnation. A run that it has not
+    /// listed may be with the next one under the same id, whose clock has started again and which
+    /// shortens the lease only to the longest one.
     pub(super) fn end_runs_of_expired_lease(&mut self, now: Now) {
-        let Some(renewed_at) = self.backend.as_ref().and_then(|b| b.lease_renewed_at) else {
+        let Some(backend) = self.backend.as_ref() else {
             return;
         };
-        let has_expired = now.mono.since(renewed_at) > self.safety.max_lease_duration();
-        if has_expired && self.started_run_count() > 0 {
+        let Some(renewed_at) = backend.lease_renewed_at else {
+            return;
+        };
+        let has_long_lease = backend
+            .long_lease_until
+            .is_some_and(|until| now.mono <= until);
+        let elapsed = now.mono.since(renewed_at);
+        if has_long_lease || elapsed <= self.safety.max_lease_duration() {
+            return;
+        }
+        let has_longest_expired = elapsed > self.safety.longest_lease_duration();
+        let is_expired = |run: &Run| run.is_listed || has_longest_expired;
+        let mut started = self.runs_by_start_number.values();
+        if started.any(|key| is_expired(&self.runs[*key])) {
             self.log(LogLine::warn("The lease of the backend server expired."));
-            self.finish_lost_runs(|_run| true, now);
+            self.finish_lost_runs(is_expired, now);
         }
     }
 }
--- a/crates/core/src/spool/agent/entry_messages.rs
+++ b/crates/core/src/spool/agent/entry_messages.rs
@@ -103,6 +103,7 @@
             fencing_token: 0,
             start_sent_at: now.mono,
             start_settled_at: None,
+            is_listed: false,
             progress: (0, now.mono),
             stop_sent_at: None,
             stop_answered_at: None,
--- a/crates/core/src/spool/agent/incarnation.rs
+++ b/crates/core/src/spool/agent/incarnation.rs
@@ -264,6 +264,7 @@
             self.finish_runs_of_previous_incarnation(listing, poll_sent_at, now);
             self.fence_off_previous_incarnation();
         }
+        let has_kept_runs = self.started_run_count() > 0;
         self.unknown_runs.clear();
         self.has_read_run_lists = false;
         self.health = Health::default();
@@ -281,7 +282,9 @@
             unanswered_at: None,
             clock_reading: None,
             acknowledged_end: 0,
-            lease_renewed_at: (self.started_run_count() > 0).then_some(now.mono),
+            lease_renewed_at: has_kept_runs.then_some(now.mono),
+            long_lease_until: has_kept_runs
+                .then(|| now.mono.plus(self.safety.longest_lease_duration())),
         });
         self.decline_queued_if_closed(now);
         self.schedule_load_reports(now.mono);
--- a/crates/core/src/spool/agent/reconcile.rs
+++ b/crates/core/src/spool/agent/reconcile.rs
@@ -181,6 +181,7 @@
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
+        run.is_listed = true;
         if matches!(run.phase, Phase::Starting | Phase::Unconfirmed) {
             run.phase = Phase::Running;
             run.phase_since = now.mono;
--- a/crates/core/src/spool/agent/run.rs
+++ b/crates/core/src/spool/agent/run.rs
@@ -55,6 +55,8 @@
     /// When the start request got its answer or was given up, `None` while it is on its way. Until
     /// then it may reach whichever process listens at the server's address.
     pub start_settled_at: Option<Monotonic>,
+    /// Whether the server's run lists have shown the run as running.
+    pub is_listed: bool,
     /// Share of the work that is done, in percent, and when that last grew.
     pub progress: (u8, Monotonic),
     /// When the last stop request was sent.
--- a/crates/core/src/spool/safety.rs
+++ b/crates/core/src/spool/safety.rs
@@ -56,6 +56,8 @@
     /// Duration of the lease on the backend server's clock. The server ends all tasks when its
     /// lease expires.
     pub lease: Duration,
+    /// Longest lease that a backend server grants, on its clock. It shortens a longer one to that.
+    pub longest_lease: Duration,
     /// Delay after which a caller that lost its connection submits the job again.
     pub resubmit_delay: Duration,
 }
@@ -70,6 +72,7 @@
             entry_silence_limit: usable.mul_f64(SILENCE_SHARE),
             unconfirmed_stop_limit: usable.mul_f64(STOP_SHARE),
             lease: usable.mul_f64(LEASE_SHARE).max(MIN_LEASE).min(max_lease),
+            longest_lease: max_lease,
             resubmit_delay: resubmit,
         }
     }
@@ -88,6 +91,14 @@
         self.lease.div_f64(SLOWEST_CLOCK_RATE)
     }
 
+    /// Returns the longest true time that any lease can last if the server's clock is slow, even one
+    /// whose end was counted on another clock.
+    pub fn longest_lease_duration(&self) -> Duration {
+        self.longest_lease
+            .max(self.lease)
+            .div_f64(SLOWEST_CLOCK_RATE)
+    }
+
     /// Checks that the first attempt of a job has ended before a caller submits the job again.
     ///
     /// # Errors
--- a/crates/core/tests/spool_incarnation.rs
+++ b/crates/core/tests/spool_incarnation.rs
@@ -452,3 +452,52 @@
     assert_eq!(ends, []);
     assert_eq!(take_ends(&mut agent), []);
 }
+
+/// Guards against double runs after an expired lease: a server that had started again under its
+/// name granted the longest lease, since the end was counted on the clock before.
+#[test]
+fn a_run_that_was_never_listed_ends_only_with_the_longest_lease() {
+    let (mut agent, link) = connected_agent();
+    let (_key, first) = start_and_confirm(&mut agent, link, 1, at(10));
+    let lists = Listing {
+        running: vec![running(1, first)],
+        ..empty_listing(NAME, BORN, 511)
+    };
+    agent.handle_listing(&lists, at(11).mono, at(12));
+    start_and_confirm(&mut agent, link, 2, at(13));
+    let expiry = 13 + safety().max_lease_duration().as_millis() as u64;
+    let longest = 13 + safety().longest_lease_duration().as_millis() as u64;
+
+    agent.handle_tick(at(expiry + 2));
+    let listed = take_ends(&mut agent);
+    agent.handle_tick(at(longest - 2));
+    let early = take_ends(&mut agent);
+    agent.handle_tick(at(longest + 2));
+
+    assert_eq!(listed, [(1, End::Lost)]);
+    assert_eq!(early, []);
+    assert_eq!(take_ends(&mut agent), [(2, End::Lost)]);
+}
+
+/// Guards against double runs after an expired lease: the lease of a server that was found to have
+/// started again may have been granted by a start request that named the clock before.
+#[test]
+fn runs_of_a_server_that_started_again_end_only_with_the_longest_lease() {
+    let (mut agent, link) = connected_agent();
+    let (_key, number) = start_and_confirm(&mut agent, link, 1, at(21));
+    let lists = Listing {
+        running: vec![running(1, number)],
+        ..empty_listing(NAME, REBORN, 4)
+    };
+    agent.handle_listing(&lists, at(23).mono, at(24));
+    agent.take_actions();
+    let expiry = 24 + safety().max_lease_duration().as_millis() as u64;
+    let longest = 24 + safety().longest_lease_duration().as_millis() as u64;
+
+    agent.handle_tick(at(expiry + 2));
+    let early = take_ends(&mut agent);
+    agent.handle_tick(at(longest + 2));
+
+    assert_eq!(early, []);
+    assert_eq!(take_ends(&mut agent), [(1, End::Lost)]);
+}
