fix(spool): a deregistration counts only for the incarnation that it names

What callers could see: a server without tasks until its next status report, up to 1.5 s.

Evidence: a_deregistration_of_another_incarnation_changes_nothing fails when the id is ignored (trial).

Change: the id is passed on and compared with that of the known incarnation.

--- a/crates/agent/src/spool/server.rs
+++ b/crates/agent/src/spool/server.rs
@@ -29,8 +29,8 @@
                 driver.backend_announced.notify_one();
                 Reply::new(StatusCode::OK).with_body("{}")
             }
-            Ok(ExecutorCall::Deregistration) => {
-                driver.apply(Agent::handle_deregistration);
+            Ok(ExecutorCall::Deregistration(incarnation)) => {
+                driver.apply(|agent, now| agent.handle_deregistration(&incarnation, now));
                 Reply::new(StatusCode::OK).with_body("{}")
             }
             Err(reply) => reply,
--- a/crates/core/src/spool/agent/backend.rs
+++ b/crates/core/src/spool/agent/backend.rs
@@ -120,9 +120,11 @@
         self.fencing_token = self.fencing_token.saturating_add(1);
     }
 
-    /// Handles the deregistration of the backend server: it gets no new tasks.
-    pub fn handle_deregistration(&mut self, now: Now) {
-        if let Some(backend) = self.backend.as_mut() {
+    /// Handles the deregistration of an incarnation of the backend server: if it is the known one,
+    /// it gets no new tasks.
+    pub fn handle_deregistration(&mut self, incarnation: &str, now: Now) {
+        let is_current = |backend: &&mut Backend| *backend.incarnation == *incarnation;
+        if let Some(backend) = self.backend.as_mut().filter(is_current) {
             backend.ready = false;
             self.log(LogLine::new("The backend server deregistered."));
             self.decline_queued_if_closed(now);
--- a/crates/core/tests/spool_incarnation.rs
+++ b/crates/core/tests/spool_incarnation.rs
@@ -501,3 +501,19 @@
     assert_eq!(early, []);
     assert_eq!(take_ends(&mut agent), [(1, End::Lost)]);
 }
+
+/// Guards against a server that is taken out of use by the deregistration of another incarnation.
+#[test]
+fn a_deregistration_of_another_incarnation_changes_nothing() {
+    let (mut agent, link) = connected_agent();
+
+    agent.handle_deregistration("another-writer", at(10));
+    send(&mut agent, link, 1, at(11));
+    let after_foreign = take_started_jobs(&mut agent);
+    agent.handle_deregistration(NAME, at(12));
+    send(&mut agent, link, 2, at(13));
+
+    assert_eq!(after_foreign, [1]);
+    let closed = End::NotStarted(DeclineReason::Closed);
+    assert_eq!(take_ends(&mut agent), [(2, closed)]);
+}
