fix(spool): a run that the server has listed is never reported as not started

What callers could see: a job refused as "not run" although one of its tasks had begun.

Cause: a start without an answer that the lists do not show is stopped, to be reported as not started. If the server carries it out between the lists and the stop, the lists show it as running or its end as stopped, and the end chosen before was reported all the same.

Change: a run that the lists have shown, as running or as ended, is reported as lost.

--- a/crates/core/src/spool/agent/reconcile.rs
+++ b/crates/core/src/spool/agent/reconcile.rs
@@ -107,17 +107,13 @@
             let run = &self.runs[key];
             let (name, retried) = (run.start.name, run.start.has_failed_elsewhere);
             let ran = now.mono.since(run.start_sent_at);
-            let (estimate, end_if_stopped) = (run.start.estimate, run.end_if_stopped);
+            let estimate = run.start.estimate;
             match ended.end {
                 End::Done => self.health.record_success(ran, estimate, now.mono),
                 End::Failed => self.record_failed_task(name, retried, now),
                 End::Lost | End::NotStarted(_) => {}
             }
-            let end = match ended.end {
-                End::Lost => end_if_stopped,
-                end => end,
-            };
-            self.finish_run(key, end, now);
+            self.finish_run(key, ended.end, now);
         }
     }
 
@@ -182,6 +178,8 @@
             return;
         };
         run.is_listed = true;
+        // A run that was being stopped as not started has started meanwhile.
+        run.end_if_stopped = End::Lost;
         if matches!(run.phase, Phase::Starting | Phase::Unconfirmed) {
             run.phase = Phase::Running;
             run.phase_since = now.mono;
--- a/crates/core/src/spool/agent/run.rs
+++ b/crates/core/src/spool/agent/run.rs
@@ -64,7 +64,7 @@
     /// When the backend server first answered a stop request. From then on it refuses a start of
     /// this run.
     pub stop_answered_at: Option<Monotonic>,
-    /// End to report to the entry once the stop is confirmed.
+    /// End to report to the entry once the stop is confirmed by lists that never showed the run.
     pub end_if_stopped: End,
 }
 
--- a/crates/core/tests/spool_agent.rs
+++ b/crates/core/tests/spool_agent.rs
@@ -466,3 +466,37 @@
     );
     assert_eq!(reports[0].load.free.cpu_millicores, 500);
 }
+
+/// Guards against a refusal of a job that has run: a start that was carried out between the run
+/// lists and the stop was reported as not started, although the server listed its end.
+#[test]
+fn a_run_that_the_server_lists_was_started_even_if_it_is_stopped_as_unanswered() {
+    for is_listed_as_ended in [true, false] {
+        let (mut agent, link) = connected_agent();
+        agent.handle_order(link, message(at(1), 1, vec![task(1, 500)]), at(2));
+        let (key, number) = take_starts(&mut agent)[0];
+        agent.handle_start_answer(key, StartAnswer::Silent, at(42));
+        agent.handle_listing(&empty_listing(1, at(44)), at(43).mono, at(44));
+        agent.handle_stop_answer(number, agent.fencing_token(), at(45));
+        agent.take_actions();
+
+        let mut lists = empty_listing(1, at(47));
+        if is_listed_as_ended {
+            lists.ended.push(Ended {
+                sequence: 1,
+                start_number: number,
+                end: End::Lost,
+            });
+        } else {
+            lists.running.push(Running {
+                name: task(1, 500).name,
+                start_number: number,
+                percent: 0,
+            });
+        }
+        agent.handle_listing(&lists, at(46).mono, at(47));
+        agent.handle_listing(&empty_listing(1, at(49)), at(48).mono, at(49));
+
+        assert_eq!(take_outcomes(&mut agent)[0].end, End::Lost);
+    }
+}
