fix(spool): a task whose connection was lost counts towards its step's limit

What callers could see: more tasks of a step on one server than antiAffinity allows.

Cause: is_below_spread_limit counted tasks by their connection. A task whose connection was lost had none, and the entry placed another one on the server once its agent had connected again, although the first was still being stopped there.

Evidence: an_orphaned_task_counts_towards_the_limit_of_its_step_on_the_server fails on the commit before.

Change: such a task counts at its agent until it is certainly gone.

--- a/crates/core/src/spool/entry/dispatch.rs
+++ b/crates/core/src/spool/entry/dispatch.rs
@@ -171,19 +171,24 @@
     }
 
     /// Returns whether the agent may get one more task of the step, whose `max_tasks_per_server`
-    /// limits the tasks per server.
+    /// limits the tasks per server. A task that the agent got over an earlier connection counts
+    /// until it is certainly gone.
     fn is_below_spread_limit(&self, task: &Task, step: &Step, connection: ConnectionKey) -> bool {
         let Some(limit) = step.max_tasks_per_server else {
             return true;
         };
+        let this_agent = self.agents[connection].number;
         let is_on_this_agent = |key: &&TaskKey| {
             let other = &self.tasks[**key];
-            other.step == task.step
-                && matches!(
-                    other.state,
-                    TaskState::Dispatched { connection: task_connection, .. }
-                        if task_connection == connection
-                )
+            let may_run_here = match other.state {
+                TaskState::Dispatched {
+                    connection: task_connection,
+                    ..
+                } => task_connection == connection,
+                TaskState::Orphaned { agent_number, .. } => agent_number == this_agent,
+                _ => false,
+            };
+            other.step == task.step && may_run_here
         };
         let count = self.jobs[task.job]
             .tasks
--- a/crates/core/tests/spool_entry.rs
+++ b/crates/core/tests/spool_entry.rs
@@ -341,3 +341,31 @@
     assert_eq!(first[0].1.estimate, Duration::from_millis(60));
     assert_eq!(second[0].1.estimate, Duration::from_millis(60));
 }
+
+/// Guards against more tasks of a step on one server than `antiAffinity` allows: a task whose
+/// connection was lost did not count, although it was still being stopped there.
+#[test]
+fn an_orphaned_task_counts_towards_the_limit_of_its_step_on_the_server() {
+    let mut entry = new_entry();
+    let before = connect_agent(&mut entry, "agent-1", 10, at_ms(0));
+    let apart = Step {
+        max_tasks_per_server: Some(1),
+        ..step(2, smallvec![])
+    };
+    entry.submit_job(request_with_long_budget(apart), queue(), at_ms(1));
+    let first = take_starts(&mut entry);
+
+    entry.remove_agent(before, at_ms(20));
+    let after = entry.add_agent(hello("agent-1"), at_ms(30));
+    entry.handle_report(after, report(10, Vec::new(), at_ms(31)), at_ms(31));
+    let while_unclear = take_starts(&mut entry);
+    let cleared = Report {
+        earlier_runs_cleared: true,
+        ..report(10, Vec::new(), at_ms(40))
+    };
+    entry.handle_report(after, cleared, at_ms(40));
+
+    assert_eq!(first.len(), 1);
+    assert_eq!(while_unclear, []);
+    assert_eq!(take_starts(&mut entry).len(), 1);
+}
