--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -24,16 +24,30 @@
 }
 
 const QUEUES: [Queue; 2] = [
-    Queue { service: "desk", prefix: "/desk1/", id_prefix: "de5c" },
-    Queue { service: "archive", prefix: "/archive1/", id_prefix: "a2c4" },
+    Queue {
+        service: "desk",
+        prefix: "/desk1/",
+        id_prefix: "de5c",
+    },
+    Queue {
+        service: "archive",
+        prefix: "/archive1/",
+        id_prefix: "a2c4",
+    },
 ];
 
-const SIZE: Size = Size { entries: 2, capacity_cpu: 4_000 };
+const SIZE: Size = Size {
+    entries: 2,
+    capacity_cpu: 4_000,
+};
 /// What the executor of each agent offers.
 const SERVICES: [&str; 3] = ["desk", "desk", "archive"];
 
 const TASKS_PER_JOB: u32 = 2;
-const WORK: Work = Work { run_ms: 200, cpu: 1_000 };
+const WORK: Work = Work {
+    run_ms: 200,
+    cpu: 1_000,
+};
 
 /// Clients of each queue. They submit one job after the other and keep all executors busy.
 const CLIENTS_PER_QUEUE: u64 = 6;
@@ -109,8 +123,17 @@
         4 * known.capacity_cpu
     );
     let path = format!("/api/Instances.Heartbeat/{}", known.id);
-    let reply = http::call(known.agent, "POST", &path, &[], &body, Duration::from_secs(1));
-    deployment.record.line(format!("another writer -> agent 0: POST {path} {body}: {reply:?}"));
+    let reply = http::call(
+        known.agent,
+        "POST",
+        &path,
+        &[],
+        &body,
+        Duration::from_secs(1),
+    );
+    deployment.record.line(format!(
+        "another writer -> agent 0: POST {path} {body}: {reply:?}"
+    ));
 }
 
 /// ROUTE: no start on an executor of a service to which no configuration sends the queue.
@@ -119,7 +142,9 @@
     for executor in &deployment.executors {
         let service = &executor.description.service;
         let is_foreign = |start: &&Start| {
-            let queue = QUEUES.iter().find(|queue| start.task.starts_with(queue.id_prefix));
+            let queue = QUEUES
+                .iter()
+                .find(|queue| start.task.starts_with(queue.id_prefix));
             queue.is_none_or(|queue| queue.service != service)
         };
         let starts = executor.starts();
@@ -142,7 +167,10 @@
         let capacity = executor.description.capacity_cpu;
         let starts = executor.starts();
         let most = starts.iter().map(|start| start.used_cpu).max().unwrap_or(0);
-        let over = starts.iter().filter(|start| start.used_cpu > capacity).count();
+        let over = starts
+            .iter()
+            .filter(|start| start.used_cpu > capacity)
+            .count();
         deployment.record.tell(format!(
             "LIMIT, executor {}: expected at most {capacity} thousandths of a core in use, saw \
              {most}; {over} of {} starts went over",
--- a/review/stand_ins_2/deployment.rs
+++ b/review/stand_ins_2/deployment.rs
@@ -150,10 +150,16 @@
             ("ip", ip.to_string()),
             ("listen.front", SocketAddr::new(ip, FRONT_PORT).to_string()),
             ("listen.ready", SocketAddr::new(ip, READY_PORT).to_string()),
-            ("listen.control", SocketAddr::new(ip, CONTROL_PORT).to_string()),
+            (
+                "listen.control",
+                SocketAddr::new(ip, CONTROL_PORT).to_string(),
+            ),
             ("app", SocketAddr::new(ip, APP_PORT).to_string()),
             ("internalPorts.0", PEER_PORT.to_string()),
-            ("platform.address", address(self.subnet, 250, STORE_PORT).to_string()),
+            (
+                "platform.address",
+                address(self.subnet, 250, STORE_PORT).to_string(),
+            ),
             ("seedNodes", seeds.join(",")),
             ("bounds.resendMs", "1300".to_owned()),
             ("bounds.holdMaxMs", "1000".to_owned()),
@@ -175,8 +181,12 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        self.record.line(format!("started {name} as process {}", child.id()));
-        CHILDREN.lock().unwrap_or_else(PoisonError::into_inner).push((name.to_owned(), child));
+        self.record
+            .line(format!("started {name} as process {}", child.id()));
+        CHILDREN
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push((name.to_owned(), child));
         Ok(())
     }
 
@@ -212,7 +222,8 @@
         body: &str,
     ) -> Option<Reply> {
         let shown: String = body.chars().take(200).collect();
-        self.record.line(format!("client -> entry {entry}: {method} {path} {shown}"));
+        self.record
+            .line(format!("client -> entry {entry}: {method} {path} {shown}"));
         let deadline = deadline_ms.to_string();
         let headers = [("Host", host), ("Deadline-Ms", &*deadline)];
         let timeout = Duration::from_millis(deadline_ms);
@@ -221,7 +232,8 @@
             || "no response".to_owned(),
             |reply| format!("{} {}", reply.status, reply.body),
         );
-        self.record.line(format!("client <- entry {entry}: {method} {path}: {shown}"));
+        self.record
+            .line(format!("client <- entry {entry}: {method} {path}: {shown}"));
         reply
     }
 }
@@ -245,7 +257,10 @@
         std::process::exit(NOT_RUN);
     });
     let folder = std::env::args().nth(1).map(PathBuf::from);
-    let code = match folder.ok_or_else(|| "name the folder of the case".into()).and_then(|f| case(&f)) {
+    let code = match folder
+        .ok_or_else(|| "name the folder of the case".into())
+        .and_then(|f| case(&f))
+    {
         Ok(true) => HELD,
         Ok(false) => BROKEN,
         Err(error) => {
@@ -257,7 +272,10 @@
 }
 
 fn address(subnet: (u8, u8), host: u8, port: u16) -> SocketAddr {
-    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, subnet.0, subnet.1, host)), port)
+    SocketAddr::new(
+        IpAddr::V4(Ipv4Addr::new(127, subnet.0, subnet.1, host)),
+        port,
+    )
 }
 
 fn zone(index: u8) -> &'static str {
--- a/review/stand_ins_2/executor.rs
+++ b/review/stand_ins_2/executor.rs
@@ -40,7 +40,10 @@
             let field = spec.split(';').find_map(|field| field.strip_prefix(name))?;
             field.parse::<u64>().ok()
         };
-        Some(Self { run_ms: number("run_ms=")?, cpu: number("cpu=")? as u32 })
+        Some(Self {
+            run_ms: number("run_ms=")?,
+            cpu: number("cpu=")? as u32,
+        })
     }
 }
 
@@ -159,7 +162,14 @@
             self.born_ms
         );
         let path = format!("/api/Instances.Heartbeat/{}", about.id);
-        let _answer = http::call(about.agent, "POST", &path, &[], &body, Duration::from_secs(1));
+        let _answer = http::call(
+            about.agent,
+            "POST",
+            &path,
+            &[],
+            &body,
+            Duration::from_secs(1),
+        );
     }
 
     fn clock_ms(&self) -> u64 {
@@ -176,7 +186,11 @@
             .partition(|run| has_lapsed || run.ends_at <= now);
         state.running = running;
         for run in over {
-            let how = if run.ends_at <= now { run.end } else { "lapsed" };
+            let how = if run.ends_at <= now {
+                run.end
+            } else {
+                "lapsed"
+            };
             state.last_end += 1;
             let number = state.last_end;
             let highest = state.highest_over.entry(run.task.clone()).or_default();
@@ -191,7 +205,9 @@
     }
 
     fn answer(&self, call: &Call) -> Reply {
-        let names_other = call.header("expect-instance").is_some_and(|id| id != self.description.id);
+        let names_other = call
+            .header("expect-instance")
+            .is_some_and(|id| id != self.description.id);
         if names_other {
             return Reply::new(421, "{}");
         }
@@ -239,10 +255,18 @@
             return Reply::new(409, self.clock_body(",\"reason\":\"late\""));
         }
         self.extend_lease(&mut state, body);
-        if state.highest_over.get(task).is_some_and(|over| number <= *over) {
+        if state
+            .highest_over
+            .get(task)
+            .is_some_and(|over| number <= *over)
+        {
             return Reply::new(409, self.clock_body(",\"reason\":\"old\""));
         }
-        if state.running.iter().any(|run| run.task == task && run.number == number) {
+        if state
+            .running
+            .iter()
+            .any(|run| run.task == task && run.number == number)
+        {
             return Reply::new(200, self.clock_body(""));
         }
         let now = Instant::now();
@@ -309,7 +333,12 @@
                 let whole = (run.ends_at - run.started_at).as_secs_f64();
                 let percent = (now - run.started_at).as_secs_f64() / whole * 100.0;
                 let percent = percent.min(100.0) as u8;
-                format!("[{},{},\"\",{percent},{}]", json::quoted(&run.task), run.number, run.cpu)
+                format!(
+                    "[{},{},\"\",{percent},{}]",
+                    json::quoted(&run.task),
+                    run.number,
+                    run.cpu
+                )
             })
             .collect();
         let ended: Vec<String> = state
--- a/review/stand_ins_2/http.rs
+++ b/review/stand_ins_2/http.rs
@@ -58,7 +58,10 @@
 
 impl Reply {
     pub fn new(status: u16, body: impl Into<String>) -> Self {
-        Self { status, body: body.into() }
+        Self {
+            status,
+            body: body.into(),
+        }
     }
 }
 
@@ -121,8 +124,13 @@
     let stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT.min(timeout)).ok()?;
     stream.set_nodelay(true).ok()?;
     let left = timeout.checked_sub(started_at.elapsed())?;
-    stream.set_read_timeout(Some(left.max(Duration::from_millis(1)))).ok()?;
-    let mut head = format!("{method} {path} HTTP/1.1\r\nContent-Length: {}\r\n", body.len());
+    stream
+        .set_read_timeout(Some(left.max(Duration::from_millis(1))))
+        .ok()?;
+    let mut head = format!(
+        "{method} {path} HTTP/1.1\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         head += &format!("{name}: {value}\r\n");
     }
@@ -157,10 +165,15 @@
             break;
         } else {
             let (name, value) = line.split_once(':')?;
-            message.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+            message
+                .headers
+                .push((name.to_ascii_lowercase(), value.trim().to_owned()));
         }
     }
-    let length = message.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let length = message
+        .header("content-length")
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0);
     message.body = vec![0; length];
     reader.read_exact(&mut message.body).ok()?;
     Some(message)
--- a/review/stand_ins_2/json.rs
+++ b/review/stand_ins_2/json.rs
@@ -109,7 +109,11 @@
 
     fn number(&mut self) -> Option<Value> {
         let start = self.at;
-        while self.text.get(self.at).is_some_and(|byte| b"+-.0123456789eE".contains(byte)) {
+        while self
+            .text
+            .get(self.at)
+            .is_some_and(|byte| b"+-.0123456789eE".contains(byte))
+        {
             self.at += 1;
         }
         let digits = std::str::from_utf8(&self.text[start..self.at]).ok()?;
--- a/review/stand_ins_2/store.rs
+++ b/review/stand_ins_2/store.rs
@@ -51,7 +51,11 @@
     fn write(&self, table: &str, key: &str, value: &str, removed: bool) {
         let mut state = self.state.lock().unwrap();
         state.version += 1;
-        let row = Row { value: value.to_owned(), version: state.version, removed };
+        let row = Row {
+            value: value.to_owned(),
+            version: state.version,
+            removed,
+        };
         state.rows.insert((table.to_owned(), key.to_owned()), row);
         self.changed.notify_all();
     }
@@ -63,7 +67,11 @@
             "/api/rows-get" => self.read(table),
             "/api/rows-feed" => {
                 let number = |name| call.parameter(name).and_then(|text| text.parse().ok());
-                self.feed(table, number("after").unwrap_or(0), number("waitMs").unwrap_or(0))
+                self.feed(
+                    table,
+                    number("after").unwrap_or(0),
+                    number("waitMs").unwrap_or(0),
+                )
             }
             "/api/rows-tx" => self.transact(&call.body),
             _ => Reply::new(404, ""),
@@ -109,8 +117,13 @@
 where
     F: Fn(&Row) -> bool,
 {
-    let of_table = state.rows.iter().filter(|(key, row)| key.0 == table && is_wanted(row));
-    let mut rows: Vec<_> = of_table.map(|(key, row)| (key.1.clone(), row.clone())).collect();
+    let of_table = state
+        .rows
+        .iter()
+        .filter(|(key, row)| key.0 == table && is_wanted(row));
+    let mut rows: Vec<_> = of_table
+        .map(|(key, row)| (key.1.clone(), row.clone()))
+        .collect();
     rows.sort_by_key(|(_key, row)| row.version);
     rows
 }
@@ -119,7 +132,11 @@
     let rows: Vec<String> = rows
         .iter()
         .map(|(key, row)| {
-            let tombstone = if row.removed { ",\"tombstone\":true" } else { "" };
+            let tombstone = if row.removed {
+                ",\"tombstone\":true"
+            } else {
+                ""
+            };
             format!(
                 "{{\"key\":{},\"part\":\"\",\"value\":\"{}\",\"schemaVersion\":{}{tombstone}}}",
                 json::quoted(key),
@@ -144,7 +161,11 @@
         }
         for position in 0..4 {
             let digit = DIGITS[(bits >> (18 - 6 * position) & 63) as usize];
-            text.push(if position > group.len() { '=' } else { char::from(digit) });
+            text.push(if position > group.len() {
+                '='
+            } else {
+                char::from(digit)
+            });
         }
     }
     text
