test(review): case 7, a job that is sent again runs beside its first attempt

Looked for: requests whose caller can leave without the entry noticing. The case: a client asks for the queue's waiting jobs on the channel of its pending job; the channel breaks, and the job is sent again after resendMs.

--- a/review/stand_ins_2/executor.rs
+++ b/review/stand_ins_2/executor.rs
@@ -58,6 +58,14 @@
     pub used_cpu: u32,
 }
 
+/// A run that is over.
+#[derive(Debug, Clone)]
+pub struct Interval {
+    pub task: String,
+    pub started_at: Instant,
+    pub ended_at: Instant,
+}
+
 #[derive(Debug)]
 struct Run {
     task: String,
@@ -79,6 +87,7 @@
     /// Highest run that was stopped or has ended, by task.
     highest_over: HashMap<String, u64>,
     starts: Vec<Start>,
+    intervals: Vec<Interval>,
     sequence: u64,
 }
 
@@ -142,6 +151,11 @@
         self.state.lock().unwrap().starts.clone()
     }
 
+    /// Returns the runs that are over.
+    pub fn intervals(&self) -> Vec<Interval> {
+        self.state.lock().unwrap().intervals.clone()
+    }
+
     fn send_report(&self) {
         let sequence = {
             let mut state = self.state.lock().unwrap();
@@ -199,6 +213,11 @@
                 "executor {}: run {} of {} ended {how}",
                 self.description.id, run.number, run.task
             ));
+            state.intervals.push(Interval {
+                task: run.task.clone(),
+                started_at: run.started_at,
+                ended_at: now,
+            });
             state.ended.push((number, run.task, run.number, how));
             self.ended.notify_all();
         }
