test(review): case 6 reads TROUBLE in its own folder

The switch stood in the stand-ins' library, so that nothing in the case's folder showed it. The case does the same as before.

--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -9,7 +9,6 @@
 use stand_ins::deployment::{Deployment, Size, run_case};
 use stand_ins::executor::{Start, Work};
 use stand_ins::http;
-use stand_ins::is_trouble_wanted;
 use stand_ins::store::{Route, config};
 
 const HOST: &str = "desk.example";
@@ -57,6 +56,11 @@
 const REPORT_AT: Duration = Duration::from_secs(4);
 const TRAFFIC_TIME: Duration = Duration::from_secs(14);
 
+/// Returns whether to cause the disruption: always, unless `TROUBLE=0` is set.
+fn is_trouble_wanted() -> bool {
+    std::env::var("TROUBLE").as_deref() != Ok("0")
+}
+
 fn main() {
     run_case(|folder| {
         let routes = QUEUES.map(|queue| Route {
