--- a/review/stand_ins_2/lib.rs
+++ b/review/stand_ins_2/lib.rs
@@ -15,11 +15,6 @@
 /// Exit code of a case that could not run.
 pub const NOT_RUN: i32 = 2;
 
-/// Returns whether the case shall cause its disruption: always, unless `TROUBLE=0` is set.
-pub fn is_trouble_wanted() -> bool {
-    std::env::var("TROUBLE").as_deref() != Ok("0")
-}
-
 /// Returns the Unix time in milliseconds.
 pub fn unix_ms() -> u64 {
     std::time::SystemTime::now()
