fix(platform): a report or list that lacks fields is not the server's own

Cause: the decoder read a missing `born` of a status report as 0, and the agent took a start of 0 for that of the known incarnation. So a report of another writer, which told nothing of its origin, changed service and capacity without a question to the server. The same held for run lists: without `born` they counted as those of any incarnation, without `clockMs` as read at time 0.

At 6.06 s `announced a change. service=archive cpu=16000`, 1 ms after the report; no `Checking an announcement` before it. Ruled out: a stale or foreign catalogue (the other server of `desk` got none of the foreign tasks), and the check of claims, which the report never reached.

The agent compares starts for equality only; an answer that does not tell the start proves nothing.

No check was loosened.

--- a/crates/core/src/spool/agent/backend.rs
+++ b/crates/core/src/spool/agent/backend.rs
@@ -25,7 +25,7 @@
 pub struct Announcement {
     /// Name of the incarnation. The server refuses start requests that name another one.
     pub incarnation: Arc<str>,
-    /// Wall clock time of the server's start in milliseconds; a later one is another incarnation.
+    /// Wall clock time of the server's start in milliseconds; another one is another incarnation.
     pub started_at_ms: u64,
     /// Number of the announcement, rising within one incarnation.
     pub sequence: u64,
--- a/crates/core/src/spool/agent/incarnation.rs
+++ b/crates/core/src/spool/agent/incarnation.rs
@@ -29,14 +29,9 @@
     checked_at: Option<Monotonic>,
 }
 
-/// Returns whether two times of a server's start may be the same; 0 stands for one not told.
-fn is_same_start(first_ms: u64, second_ms: u64) -> bool {
-    first_ms == second_ms || first_ms == 0 || second_ms == 0
-}
-
 impl Backend {
     fn is_incarnation(&self, incarnation: &str, started_at_ms: u64) -> bool {
-        *self.incarnation == *incarnation && is_same_start(self.started_at_ms, started_at_ms)
+        *self.incarnation == *incarnation && self.started_at_ms == started_at_ms
     }
 }
 
@@ -197,6 +192,9 @@
         poll_sent_at: Monotonic,
         now: Now,
     ) -> bool {
+        if !listing.tells_start() {
+            return false;
+        }
         let known = self.backend.as_ref();
         if let Some(backend) =
             known.filter(|b| b.is_incarnation(&listing.incarnation, listing.started_at_ms))
@@ -214,14 +212,13 @@
         }
         let is_confirmed = |claim: &Claim| {
             claim.announcement.incarnation == listing.incarnation
-                && is_same_start(claim.announcement.started_at_ms, listing.started_at_ms)
+                && claim.announcement.started_at_ms == listing.started_at_ms
         };
-        // A server that tells the start of the known incarnation, or none, is no other incarnation,
-        // whatever the poll named: the header with the name may not have reached it.
+        // A server that tells the start of the known incarnation is no other incarnation, whatever the
+        // poll named: the header with the name may not have reached it.
         let tells_no_other_start = known.is_some_and(|backend| {
             *backend.incarnation != *listing.incarnation
-                && backend.started_at_ms != 0
-                && is_same_start(backend.started_at_ms, listing.started_at_ms)
+                && backend.started_at_ms == listing.started_at_ms
         });
         if tells_no_other_start {
             self.drop_claims(|claim| {
@@ -284,7 +281,7 @@
         self.health = Health::default();
         self.backend = Some(Backend {
             incarnation: announcement.incarnation,
-            started_at_ms: announcement.started_at_ms.max(listing.started_at_ms),
+            started_at_ms: listing.started_at_ms,
             announcement_sequence: announcement.sequence,
             service: announcement.service,
             capacity: announcement.capacity,
--- a/crates/core/src/spool/agent/reconcile.rs
+++ b/crates/core/src/spool/agent/reconcile.rs
@@ -43,7 +43,7 @@
     /// Incarnation that the poll named, and so the one that answered.
     pub incarnation: Arc<str>,
     /// Wall clock time of the server's start in milliseconds, which tells its incarnations apart; 0
-    /// if the server did not say.
+    /// if it was not told.
     pub started_at_ms: u64,
     /// Time on the server's clock in milliseconds.
     pub clock_ms: u64,
@@ -61,6 +61,12 @@
 }
 
 impl Listing {
+    /// Returns whether the answer tells when the server started. Any server tells it, so an answer
+    /// without it proves nothing.
+    pub(super) fn tells_start(&self) -> bool {
+        self.started_at_ms != 0
+    }
+
     /// Returns whether the lists show the run with the start number `number` as running or ended.
     pub(super) fn contains_run(&self, number: u64) -> bool {
         self.running.iter().any(|run| run.start_number == number)
--- a/crates/core/tests/spool_incarnation.rs
+++ b/crates/core/tests/spool_incarnation.rs
@@ -656,6 +656,40 @@
     assert_eq!(take_ends(&mut agent), []);
 }
 
+/// Guards against a server that gets the tasks of another service, and more than it can hold: a report
+/// that did not tell when its writer had started counted as the server's own.
+#[test]
+fn a_report_without_the_servers_start_changes_nothing() {
+    let (mut agent, link) = connected_agent();
+    let foreign = Announcement {
+        sequence: 4_000,
+        ..foreign_announcement(NAME, 0)
+    };
+
+    agent.handle_announcement(foreign, at(10));
+    agent.handle_listing(&empty_listing(NAME, BORN, 512), at(11).mono, at(12));
+    send(&mut agent, link, 1, at(13));
+    let actions = agent.take_actions();
+
+    let is_start = |action: &Action| matches!(action, Action::Start { .. });
+    let services: Vec<_> = reports(&actions).filter_map(|r| r.server.clone()).collect();
+    assert!(actions.iter().any(is_start));
+    assert!(services.iter().all(|server| &*server.service == "desk"));
+}
+
+/// Guards against runs that are taken for ended by an answer that is not the server's: without the
+/// start of the server, it counted as that of any incarnation.
+#[test]
+fn lists_without_the_servers_start_prove_nothing() {
+    let (mut agent, link) = connected_agent();
+    start_and_confirm(&mut agent, link, 1, at(10));
+
+    agent.handle_listing(&empty_listing(NAME, 0, 513), at(12).mono, at(13));
+
+    assert_eq!(take_ends(&mut agent), []);
+    assert_eq!(agent.unfinished_run_count(), 1);
+}
+
 /// Guards against double runs by an answer of another party to a start: the start reaches the server
 /// after lists that do not show it.
 #[test]
