fix(spool): a false report in a server's name does not outlast its own

A report that it drains would have been ignored just so.

Cause: reports of one incarnation were ordered by `sequence` alone, a number that nothing backs. After one with 4000, all later ones of the server were outdated. And a newer report replaced service, capacity and labels, which an incarnation never changes.

Change (agent/announcement.rs): reports are ordered by the server's clock, equal readings by `sequence`. A report whose clock is ahead of the one that the server's answers to polls tell is not believed, nor is one that contradicts the known service, capacity or labels. If the first report was the false one, no task starts until one of the two is repeated; one that is told for 2 s without the other takes over. What is not believed is answered 409, since it may be the server's own after all, and counted by the doubt.

Why it works: what a report can change now either has a second source (start and clock, from the answers to polls) or has to be repeated; `state` alone has neither and lasts until the next report.

The random search and the soak now send the kinds of reports that were missing: without a start, with one odd field, with the known start and another capacity or service, ahead of the clock. The search also asks that an agent never doubts its server, the soak that no agent rejects its executor's report.

--- a/crates/agent/src/spool/metrics.rs
+++ b/crates/agent/src/spool/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters and run times of an agent for jobs that are not recorded durably.
 
-use ibisspool_core::spool::agent::Evidence;
+use ibisspool_core::spool::agent::{Doubt, Evidence};
 use ibisspool_core::spool::message::{End, Outcome};
 use ibisspool_kernel::metrics::Metrics;
 use prometheus::{Histogram, IntCounter, IntCounterVec};
@@ -12,6 +12,7 @@
     pub registry: Metrics,
     ends: IntCounterVec,
     evidence: IntCounterVec,
+    doubts: IntCounterVec,
     run_time: Histogram,
     /// Calls to the backend server that got no answer.
     pub unanswered_calls: IntCounter,
@@ -28,6 +29,11 @@
                 "Ends of runs by what showed them",
                 "evidence",
             ),
+            doubts: registry.labeled_counter(
+                "ibisspool_ignored_announcements_total",
+                "Announcements of the backend server that were not believed, by the doubt",
+                "doubt",
+            ),
             run_time: registry.histogram(
                 "ibisspool_task_seconds",
                 "Run time of tasks that ended well",
@@ -52,6 +58,12 @@
         self.ends.with_label_values(&[label]).inc();
     }
 
+    /// Counts an announcement that was not believed.
+    pub fn record_doubt(&self, doubt: Doubt) {
+        let label: &str = doubt.into();
+        self.doubts.with_label_values(&[label]).inc();
+    }
+
     /// Counts the end of a run by what showed it.
     pub fn record_evidence(&self, evidence: Evidence) {
         let label: &str = evidence.into();
--- a/crates/agent/src/spool/server.rs
+++ b/crates/agent/src/spool/server.rs
@@ -26,9 +26,14 @@
     let answer = move |call: Call| {
         let reply = match executor::decode(&call) {
             Ok(ExecutorCall::Heartbeat(announcement)) => {
-                driver.apply(|agent, now| agent.handle_announcement(announcement, now));
+                let is_acknowledged =
+                    driver.apply(|agent, now| agent.handle_announcement(announcement, now));
                 driver.backend_announced.notify_one();
-                Reply::new(StatusCode::OK).with_body("{}")
+                if is_acknowledged {
+                    Reply::new(StatusCode::OK).with_body("{}")
+                } else {
+                    Reply::new(StatusCode::CONFLICT)
+                }
             }
             Ok(ExecutorCall::Deregistration(incarnation)) => {
                 driver.apply(|agent, now| agent.handle_deregistration(&incarnation, now));
--- a/crates/core/src/spool/agent.rs
+++ b/crates/core/src/spool/agent.rs
@@ -4,6 +4,7 @@
 //! server's capacity and about starting, stopping and ending tasks there. This module does no I/O:
 //! its methods record [`Action`]s, which the agent process carries out in order.
 
+mod announcement;
 mod backend;
 mod entry_messages;
 mod evidence;
@@ -26,7 +27,8 @@
 use super::safety::Safety;
 use crate::time::{Monotonic, Now};
 
-pub use backend::{Announcement, LongPoll, StartAnswer};
+pub use announcement::{Announcement, Doubt, Profile};
+pub use backend::{LongPoll, StartAnswer};
 pub use evidence::Evidence;
 pub use health::{Health, Verdict};
 pub use reconcile::{Ended, Listing, Running};
@@ -79,6 +81,8 @@
     Report(ConnectionKey, Report),
     /// Count the end of a run by what showed it.
     CountEnd(Evidence),
+    /// Count an announcement that is not believed.
+    CountDoubt(Doubt),
     /// Write a log line.
     WriteLog(LogLine),
 }
@@ -205,7 +209,7 @@
         self.backend
             .as_ref()
             .map_or_else(Resources::default, |backend| {
-                backend.capacity.without(&self.reserved)
+                backend.announced.profile().capacity.without(&self.reserved)
             })
     }
 
--- a/crates/core/src/spool/agent/backend.rs
+++ b/crates/core/src/spool/agent/backend.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::super::job::Resources;
 use super::super::log_line::LogLine;
 use super::super::message::{DeclineReason, End, ServerState};
+use super::announcement::{Announced, ClockReading};
 use super::{Action, Agent, Evidence, Phase, Run, RunKey};
 use crate::time::{Monotonic, Now};
 
@@ -20,25 +20,6 @@
 /// that a raise of the token starts from.
 const MIN_TOKEN_DISTANCE_MS: u64 = 4_000;
 
-/// State that a backend server announces about itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Announcement {
-    /// Name of the incarnation. The server refuses start requests that name another one.
-    pub incarnation: Arc<str>,
-    /// Wall clock time of the server's start in milliseconds; another one is another incarnation.
-    pub started_at_ms: u64,
-    /// Number of the announcement, rising within one incarnation.
-    pub sequence: u64,
-    /// Service that the server offers.
-    pub service: Arc<str>,
-    /// Total resources of the server.
-    pub capacity: Resources,
-    /// Labels of the server, such as its rack.
-    pub labels: Vec<String>,
-    /// Whether the server accepts new tasks; false while it drains.
-    pub ready: bool,
-}
-
 /// One long poll of the server's run lists, which also acknowledges ends and renews the lease.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LongPoll {
@@ -77,11 +58,7 @@
 pub(super) struct Backend {
     pub incarnation: Arc<str>,
     pub started_at_ms: u64,
-    pub announcement_sequence: u64,
-    pub service: Arc<str>,
-    pub capacity: Resources,
-    pub labels: Vec<String>,
-    pub ready: bool,
+    pub announced: Announced,
     /// When the agent handled the answer that showed that this incarnation lives.
     pub adopted_at: Monotonic,
     /// Set by [`FAILURES_TO_UNREACHABLE`] failed calls in a row, cleared by the next answer.
@@ -90,8 +67,8 @@
     /// When the last call failed or got no answer, `None` once run lists that were requested later
     /// have arrived.
     pub unanswered_at: Option<Monotonic>,
-    /// Last reading of the server's clock in milliseconds, and when the agent received it.
-    pub clock_reading: Option<(u64, Monotonic)>,
+    /// Last reading of the server's clock.
+    pub clock_reading: Option<ClockReading>,
     /// Sequence number up to which the agent has processed the ends.
     pub acknowledged_end: u64,
     /// When the last message that renews the lease was sent.
@@ -103,11 +80,12 @@
 
 impl Backend {
     pub fn reported_state(&self) -> ServerState {
+        let profile = self.announced.profile();
         ServerState {
-            service: Arc::clone(&self.service),
-            capacity: self.capacity,
-            labels: self.labels.clone(),
-            ready: self.ready,
+            service: Arc::clone(&profile.service),
+            capacity: profile.capacity,
+            labels: profile.labels.clone(),
+            ready: self.announced.is_ready(),
         }
     }
 }
@@ -125,7 +103,7 @@
     pub fn handle_deregistration(&mut self, incarnation: &str, now: Now) {
         let is_current = |backend: &&mut Backend| *backend.incarnation == *incarnation;
         if let Some(backend) = self.backend.as_mut().filter(is_current) {
-            backend.ready = false;
+            backend.announced.record_deregistration();
             self.log(LogLine::new("The backend server deregistered."));
             self.decline_queued_if_closed(now);
         }
@@ -190,11 +168,8 @@
     /// slow clock. Counting the lease from that lower bound can make it shorter than intended,
     /// never longer.
     pub(super) fn lease_end_ms(&self, now: Monotonic) -> Option<u64> {
-        let (clock_ms, read_at) = self.backend.as_ref()?.clock_reading?;
-        let elapsed = now
-            .since(read_at)
-            .mul_f64(super::super::safety::SLOWEST_CLOCK_RATE);
-        Some(clock_ms + (elapsed + self.safety.lease).as_millis() as u64)
+        let reading = self.backend.as_ref()?.clock_reading?;
+        Some((reading.earliest(now) + self.safety.lease).as_millis() as u64)
     }
 
     pub(super) fn record_lease_renewal(&mut self, now: Monotonic) {
--- a/crates/core/src/spool/agent/entry_messages.rs
+++ b/crates/core/src/spool/agent/entry_messages.rs
@@ -131,7 +131,8 @@
     fn can_run(&self, start: &Start) -> bool {
         self.is_accepting_tasks()
             && self.backend.as_ref().is_some_and(|backend| {
-                backend.service == start.service && backend.capacity.can_hold(&start.needs)
+                let profile = backend.announced.profile();
+                profile.service == start.service && profile.capacity.can_hold(&start.needs)
             })
     }
 
@@ -142,7 +143,7 @@
         let is_ready = self
             .backend
             .as_ref()
-            .is_some_and(|backend| backend.ready && !backend.is_unreachable);
+            .is_some_and(|backend| backend.announced.is_ready() && !backend.is_unreachable);
         is_ready && !is_out_of_service && !self.is_draining
     }
 
--- a/crates/core/src/spool/agent/incarnation.rs
+++ b/crates/core/src/spool/agent/incarnation.rs
@@ -9,9 +9,12 @@
 
 use super::super::log_line::LogLine;
 use super::super::message::End;
+use super::announcement::{Announced, ClockReading};
 use super::backend::Backend;
 use super::reconcile::Listing;
-use super::{Action, Agent, Announcement, Claims, Evidence, Health, LongPoll, Phase, RunKey};
+use super::{
+    Action, Agent, Announcement, Claims, Doubt, Evidence, Health, LongPoll, Phase, RunKey,
+};
 use crate::time::{Monotonic, Now};
 
 /// Interval between two checks of the same claim: longer than an unanswered call takes to fail.
@@ -36,64 +39,72 @@
 }
 
 impl Agent {
-    /// Handles an announcement. One of the known incarnation updates its state unless a newer one
-    /// has arrived; one of another incarnation has to be confirmed by the server.
-    pub fn handle_announcement(&mut self, announcement: Announcement, now: Now) {
+    /// Handles an announcement. One of the known incarnation updates its state unless there is a
+    /// [`Doubt`]; one of another incarnation has to be confirmed by the server. Returns whether to
+    /// acknowledge the announcement. One that is not believed may still be the server's, which then
+    /// has to send it again.
+    pub fn handle_announcement(&mut self, announcement: Announcement, now: Now) -> bool {
         self.handle_expiries(now);
         let is_known = self.backend.as_ref().is_some_and(|backend| {
             backend.is_incarnation(&announcement.incarnation, announcement.started_at_ms)
         });
-        if is_known {
-            self.update_backend(announcement, now);
+        let is_acknowledged = if is_known {
+            match self.update_backend(announcement, now) {
+                Ok(()) | Err(Doubt::Outdated) => true,
+                Err(Doubt::AheadOfClock | Doubt::Contradiction) => false,
+            }
         } else {
             self.add_claim(announcement, now.mono);
-        }
+            true
+        };
         self.send_due_reports(now.mono);
+        is_acknowledged
     }
 
-    fn update_backend(&mut self, announcement: Announcement, now: Now) {
+    /// Applies an announcement of the known incarnation.
+    ///
+    /// # Errors
+    /// Returns why the announcement is not believed.
+    fn update_backend(&mut self, announcement: Announcement, now: Now) -> Result<(), Doubt> {
         let Some(backend) = self.backend.as_mut() else {
-            return;
+            return Ok(());
         };
-        if announcement.sequence < backend.announcement_sequence {
-            let line = LogLine::new("Ignored an outdated announcement of the backend server.")
-                .with("born", announcement.started_at_ms)
-                .with("sequence", announcement.sequence);
-            self.log(line);
-            return;
+        let line = LogLine::warn("Ignored an announcement of the backend server.")
+            .with("service", &announcement.profile.service)
+            .with("ready", announcement.ready)
+            .with("cpu", announcement.profile.capacity.cpu_millicores)
+            .with("clock_ms", announcement.clock_ms)
+            .with("sequence", announcement.sequence)
+            .with("born", announcement.started_at_ms);
+        let before = backend.reported_state();
+        let clock = backend.clock_reading;
+        let recorded = backend.announced.record(announcement, clock, now.mono);
+        let after = backend.reported_state();
+        if let Err(doubt) = recorded {
+            self.log(line.with("doubt", <&str>::from(doubt)));
+            self.actions.push(Action::CountDoubt(doubt));
         }
-        let has_changed = backend.ready != announcement.ready
-            || backend.service != announcement.service
-            || backend.capacity != announcement.capacity;
-        backend.announcement_sequence = announcement.sequence;
-        backend.ready = announcement.ready;
-        backend.service = announcement.service;
-        backend.capacity = announcement.capacity;
-        backend.labels = announcement.labels;
-        if has_changed {
+        if before != after {
             let line = LogLine::new("The backend server announced a change.")
-                .with("service", &backend.service)
-                .with("ready", backend.ready)
-                .with("cpu", backend.capacity.cpu_millicores)
-                .with("born", backend.started_at_ms);
+                .with("service", &after.service)
+                .with("ready", after.ready)
+                .with("cpu", after.capacity.cpu_millicores);
             self.log(line);
             self.decline_queued_if_closed(now);
             self.schedule_load_reports(now.mono);
         }
+        recorded
     }
 
     /// Keeps an announcement until the server's answer to a poll confirms or refutes it.
     fn add_claim(&mut self, announcement: Announcement, now: Monotonic) {
-        let is_same_incarnation = |claim: &Claim| {
+        let is_repeated = |claim: &Claim| {
             claim.announcement.incarnation == announcement.incarnation
                 && claim.announcement.started_at_ms == announcement.started_at_ms
+                && claim.announcement.profile == announcement.profile
         };
-        if let Some(claim) = self
-            .claims
-            .iter_mut()
-            .find(|claim| is_same_incarnation(claim))
-        {
-            if claim.announcement.sequence <= announcement.sequence {
+        if let Some(claim) = self.claims.iter_mut().find(|claim| is_repeated(claim)) {
+            if claim.announcement.order_key() <= announcement.order_key() {
                 claim.announcement = announcement;
             }
             return;
@@ -201,7 +212,7 @@
         {
             let is_outdated = backend
                 .clock_reading
-                .is_some_and(|(clock_ms, _read_at)| listing.clock_ms < clock_ms);
+                .is_some_and(|reading| listing.clock_ms < reading.clock_ms);
             if !is_outdated {
                 self.drop_claims(|claim| claim.received_at < poll_sent_at);
             }
@@ -210,9 +221,15 @@
         if known.is_some_and(|backend| poll_sent_at <= backend.adopted_at) {
             return false;
         }
+        let clock = ClockReading {
+            clock_ms: listing.clock_ms,
+            requested_at: poll_sent_at,
+            received_at: now.mono,
+        };
         let is_confirmed = |claim: &Claim| {
             claim.announcement.incarnation == listing.incarnation
                 && claim.announcement.started_at_ms == listing.started_at_ms
+                && clock.allows(claim.announcement.clock_ms, now.mono)
         };
         // A server that tells the start of the known incarnation is no other incarnation, whatever the
         // poll named: the header with the name may not have reached it.
@@ -229,22 +246,17 @@
         }
         let restarts_under_its_id =
             known.is_some_and(|backend| backend.incarnation == listing.incarnation);
-        if let Some(index) = self.claims.iter().position(is_confirmed) {
-            let announcement = self.claims.remove(index).announcement;
-            self.adopt_incarnation(announcement, listing, poll_sent_at, now);
+        if self.claims.iter().any(is_confirmed) {
+            let claims = std::mem::take(&mut self.claims);
+            let (confirmed, open): (Claims, Claims) =
+                claims.into_iter().partition(|claim| is_confirmed(claim));
+            self.claims = open;
+            self.adopt_announced(confirmed, listing, poll_sent_at, now);
             true
         } else if restarts_under_its_id && let Some(backend) = known {
             // The listing does not tell the capacity, which may differ from the one before. Until
             // the server announces it, no task starts.
-            let unannounced = Announcement {
-                incarnation: Arc::clone(&backend.incarnation),
-                started_at_ms: listing.started_at_ms,
-                sequence: 0,
-                service: Arc::clone(&backend.service),
-                capacity: backend.capacity,
-                labels: backend.labels.clone(),
-                ready: false,
-            };
+            let unannounced = Announced::unannounced(backend.announced.profile().clone());
             self.adopt_incarnation(unannounced, listing, poll_sent_at, now);
             true
         } else {
@@ -256,20 +268,40 @@
         }
     }
 
+    /// Switches to an incarnation that was announced as `claims` tell and whose answer to a poll sent
+    /// at `poll_sent_at` is `listing`.
+    fn adopt_announced(
+        &mut self,
+        claims: Claims,
+        listing: &Listing,
+        poll_sent_at: Monotonic,
+        now: Now,
+    ) {
+        let mut announcements = claims.into_iter().map(|claim| claim.announcement);
+        let Some(first) = announcements.next() else {
+            return;
+        };
+        self.adopt_incarnation(Announced::new(first), listing, poll_sent_at, now);
+        for announcement in announcements {
+            // A contradiction closes the server until it has repeated what it offers.
+            let _doubt = self.update_backend(announcement, now);
+        }
+    }
+
     /// Switches to an incarnation whose answer to a poll sent at `poll_sent_at` is `listing`.
     fn adopt_incarnation(
         &mut self,
-        announcement: Announcement,
+        announced: Announced,
         listing: &Listing,
         poll_sent_at: Monotonic,
         now: Now,
     ) {
         let line = LogLine::new("A new incarnation of the backend server started.")
-            .with("incarnation", &announcement.incarnation)
+            .with("incarnation", &listing.incarnation)
             .with("born", listing.started_at_ms)
-            .with("service", &announcement.service)
-            .with("ready", announcement.ready)
-            .with("cpu", announcement.capacity.cpu_millicores);
+            .with("service", &announced.profile().service)
+            .with("ready", announced.is_ready())
+            .with("cpu", announced.profile().capacity.cpu_millicores);
         self.log(line);
         if self.backend.is_some() {
             self.finish_runs_of_previous_incarnation(listing, poll_sent_at, now);
@@ -280,13 +312,9 @@
         self.has_read_run_lists = false;
         self.health = Health::default();
         self.backend = Some(Backend {
-            incarnation: announcement.incarnation,
+            incarnation: Arc::clone(&listing.incarnation),
             started_at_ms: listing.started_at_ms,
-            announcement_sequence: announcement.sequence,
-            service: announcement.service,
-            capacity: announcement.capacity,
-            labels: announcement.labels,
-            ready: announcement.ready,
+            announced,
             adopted_at: now.mono,
             is_unreachable: false,
             consecutive_failures: 0,
--- a/crates/core/src/spool/agent/reconcile.rs
+++ b/crates/core/src/spool/agent/reconcile.rs
@@ -7,6 +7,7 @@
 use super::super::job::TaskName;
 use super::super::log_line::LogLine;
 use super::super::message::{DeclineReason, End};
+use super::announcement::ClockReading;
 use super::run::UnknownRun;
 use super::{Agent, Evidence, Health, Phase, RunKey, Verdict};
 use crate::time::{Monotonic, Now};
@@ -93,7 +94,7 @@
         if !self.identify_backend(listing, poll_sent_at, now) {
             return;
         }
-        self.record_answer(listing.clock_ms, poll_sent_at, now);
+        self.record_answer(listing, poll_sent_at, now);
         self.process_ends(listing, poll_sent_at, now);
         self.reconcile_running(listing, poll_sent_at, now);
         if !self.has_read_run_lists && !listing.lacks_running {
@@ -109,15 +110,19 @@
         self.send_due_reports(now.mono);
     }
 
-    fn record_answer(&mut self, clock_ms: u64, poll_sent_at: Monotonic, now: Now) {
+    fn record_answer(&mut self, listing: &Listing, poll_sent_at: Monotonic, now: Now) {
         let Some(backend) = self.backend.as_mut() else {
             return;
         };
+        backend.clock_reading = Some(ClockReading {
+            clock_ms: listing.clock_ms,
+            requested_at: poll_sent_at,
+            received_at: now.mono,
+        });
         backend.consecutive_failures = 0;
         if backend.unanswered_at.is_some_and(|at| at <= poll_sent_at) {
             backend.unanswered_at = None;
         }
-        backend.clock_reading = Some((clock_ms, now.mono));
         if backend.is_unreachable {
             backend.is_unreachable = false;
             self.log(LogLine::new("The backend server is reachable again."));
--- a/crates/core/src/spool/agent/report.rs
+++ b/crates/core/src/spool/agent/report.rs
@@ -215,10 +215,9 @@
     }
 
     fn is_large_change(&self, old: &Load, new: &Load) -> bool {
-        let capacity = self
-            .backend
-            .as_ref()
-            .map_or(0, |backend| backend.capacity.cpu_millicores);
+        let capacity = self.backend.as_ref().map_or(0, |backend| {
+            backend.announced.profile().capacity.cpu_millicores
+        });
         let change = old.free.cpu_millicores.abs_diff(new.free.cpu_millicores);
         f64::from(change) > f64::from(capacity) * LARGE_CHANGE_SHARE
             || (old.open_slots == 0) != (new.open_slots == 0)
--- a/crates/core/tests/spool/faults.rs
+++ b/crates/core/tests/spool/faults.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ibisspool_core::spool::agent::{Agent, Announcement};
+use ibisspool_core::spool::agent::{Agent, Announcement, Profile};
 use ibisspool_core::spool::entry::Entry;
 use ibisspool_core::spool::job::Resources;
 use ibisspool_core::spool::message::{AgentHello, Member};
@@ -12,11 +12,18 @@
 use ibisspool_standin::executor::Executor;
 use rand::Rng;
 
-use super::{Event, Fault, MS, Message, Mutant, Process, World, catalogue, incarnation_started_at};
+use super::{
+    Event, Fault, Foreign, MS, Message, Mutant, Process, World, catalogue, incarnation_started_at,
+};
 
 /// Time after which an agent closes the connection to a silent entry.
 const SILENT_CONNECTION_TIMEOUT_US: u64 = 1_200 * MS;
 
+/// Sequence number of announcements of other writers, and what they tell of the server's clock. No
+/// server of a run gets that far.
+const FOREIGN_SEQUENCE: u64 = 4_000;
+const FOREIGN_CLOCK_MS: u64 = 482_113;
+
 impl World {
     pub(super) fn inject(&mut self, fault: Fault) {
         if self.trace_enabled {
@@ -80,8 +87,8 @@
                 self.restart_server(index);
                 self.schedule_after(announced_after_us, Event::AnnounceOnce(index));
             }
-            Fault::ForeignAnnouncement(index, has_known_name) => {
-                self.announce_another_writer(index, has_known_name);
+            Fault::ForeignAnnouncement(index, foreign) => {
+                self.announce_another_writer(index, foreign);
             }
             Fault::CrashServer(index, duration_us) => {
                 self.break_server_connections(index);
@@ -127,26 +134,56 @@
         let rate = self.random.random_range(0.98..1.0);
         self.executors[index] = Executor::new(capacity, rate, slowness, self.now_us.max(2));
         self.agents[index].last_announcement = 0;
+        self.agents[index].announcements_heard = 0;
     }
 
-    /// Delivers an announcement that names no server of the run, with the name of the server's
-    /// incarnation or another one.
-    fn announce_another_writer(&mut self, index: usize, has_known_name: bool) {
-        let incarnation = if has_known_name {
-            Arc::clone(&self.incarnations[index])
-        } else {
-            Arc::from("another-writer")
+    /// Delivers an announcement that is not the server's own.
+    fn announce_another_writer(&mut self, index: usize, foreign: Foreign) {
+        let own = self.own_announcement(index);
+        let large = Profile {
+            capacity: Resources {
+                cpu_millicores: own.profile.capacity.cpu_millicores * 4,
+                ..own.profile.capacity
+            },
+            ..own.profile.clone()
         };
-        let foreign = Announcement {
-            incarnation,
-            started_at_ms: self.now_us.max(3),
-            sequence: 1,
+        let other_service = Profile {
             service: Arc::from("another-service"),
             capacity: Resources::default(),
             labels: Vec::new(),
-            ready: true,
         };
-        self.deliver_announcement(index, foreign);
+        let announcement = match foreign {
+            Foreign::OtherName => Announcement {
+                incarnation: Arc::from("another-writer"),
+                started_at_ms: self.now_us.max(3),
+                profile: other_service,
+                ..own
+            },
+            Foreign::OtherStart => Announcement {
+                started_at_ms: self.now_us.max(3),
+                profile: other_service,
+                ..own
+            },
+            Foreign::NoStart => Announcement {
+                started_at_ms: 0,
+                clock_ms: FOREIGN_CLOCK_MS,
+                sequence: FOREIGN_SEQUENCE,
+                profile: large,
+                ..own
+            },
+            Foreign::OtherCapacity if self.agents[index].announcements_heard == 0 => return,
+            Foreign::OtherCapacity => Announcement {
+                sequence: FOREIGN_SEQUENCE,
+                profile: large,
+                ..own
+            },
+            Foreign::AheadOfClock => Announcement {
+                clock_ms: FOREIGN_CLOCK_MS,
+                sequence: FOREIGN_SEQUENCE,
+                ..own
+            },
+        };
+        self.deliver_announcement(index, announcement);
     }
 
     /// Ends the lease renewals that wait at a backend server without an answer.
@@ -262,6 +299,7 @@
                     process_state.boot += 1;
                     process_state.paused = false;
                     process_state.past_suspensions_us = 0;
+                    process_state.announcements_heard = 0;
                     let boot = process_state.boot;
                     for entry in 0..self.scenario.entries {
                         self.schedule_after(
--- a/crates/core/tests/spool/scenario.rs
+++ b/crates/core/tests/spool/scenario.rs
@@ -84,6 +84,23 @@
     }
 }
 
+/// What an announcement of another writer names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Foreign {
+    /// Another incarnation than that of the server.
+    OtherName,
+    /// The server's incarnation with another start.
+    OtherStart,
+    /// The server's incarnation without a start, with several times its capacity.
+    NoStart,
+    /// The server's incarnation and its start, with several times its capacity. It is sent after an
+    /// announcement of the server itself; nothing tells two single ones from each other.
+    OtherCapacity,
+    /// The server's incarnation, its start and its capacity, at a time that its clock does not show
+    /// yet.
+    AheadOfClock,
+}
+
 /// A fault to inject. The first number is the index of an entry, or of an agent and its backend
 /// server; durations are in microseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -107,9 +124,8 @@
     /// Replaces a backend server by a new incarnation under the name that it had. It announces
     /// itself after this time.
     RestartServerUnderItsName(usize, u64),
-    /// An agent gets an announcement of another writer: with the name of its server's incarnation,
-    /// or with another one.
-    ForeignAnnouncement(usize, bool),
+    /// An agent gets an announcement of another writer.
+    ForeignAnnouncement(usize, Foreign),
     /// A backend server crashes, refuses connections for a time, then starts again.
     CrashServer(usize, u64),
     /// A backend server breaks its connections and refuses new ones for a time, while its tasks go
--- a/crates/core/tests/spool/world.rs
+++ b/crates/core/tests/spool/world.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ibisspool_core::spool::agent::{self, Agent, Announcement};
+use ibisspool_core::spool::agent::{self, Agent, Announcement, Profile};
 use ibisspool_core::spool::catalogue::{Limits, Queue, Snapshot};
 use ibisspool_core::spool::entry::{self, Entry, JobKey};
 use ibisspool_core::spool::job::{Id, Resources};
@@ -28,7 +28,7 @@
 
 pub use event::Process;
 use event::{Call, Event, Message};
-pub use scenario::{Fault, Job, Mutant, RunResult, Scenario};
+pub use scenario::{Fault, Foreign, Job, Mutant, RunResult, Scenario};
 
 /// Microseconds per millisecond.
 pub const MS: u64 = 1_000;
@@ -75,6 +75,8 @@
     /// Whether the agent keeps renewing its lease, each renewal following the answer to the last.
     renews_lease: bool,
     last_announcement: u64,
+    /// Number of announcements of its server's incarnation that the agent has got since it started.
+    announcements_heard: u32,
 }
 
 /// A lease renewal without an answer.
@@ -270,6 +272,7 @@
                 drain_seen_at: None,
                 renews_lease: false,
                 last_announcement: 0,
+                announcements_heard: 0,
             });
             self.start_process(Process::Agent(index));
         }
@@ -491,37 +494,55 @@
 
     fn announce_server(&mut self, index: usize) {
         self.agents[index].last_announcement += 1;
+        let announcement = self.own_announcement(index);
+        if let Some(is_acknowledged) = self.deliver_announcement(index, announcement) {
+            let agent = &mut self.agents[index];
+            agent.announcements_heard += 1;
+            if !agent.ready {
+                agent.drain_seen_at.get_or_insert(self.now_us);
+            }
+            if !is_acknowledged {
+                self.record_violation(&format!("agent {index} does not believe its server"));
+            }
+        }
+    }
+
+    /// Returns what a backend server announces now.
+    fn own_announcement(&self, index: usize) -> Announcement {
         let agent = &self.agents[index];
-        let announcement = Announcement {
+        Announcement {
             incarnation: Arc::clone(&self.incarnations[index]),
             started_at_ms: self.executors[index].started_us,
+            clock_ms: self.executors[index].clock_ms(self.now_us),
             sequence: agent.last_announcement,
-            service: Arc::from("desk"),
-            capacity: Resources {
-                cpu_millicores: self.executors[index].capacity_cpu_millis,
-                memory_mb: 1 << 15,
-                accelerators: 0,
+            profile: Profile {
+                service: Arc::from("desk"),
+                capacity: Resources {
+                    cpu_millicores: self.executors[index].capacity_cpu_millis,
+                    memory_mb: 1 << 15,
+                    accelerators: 0,
+                },
+                labels: Vec::new(),
             },
-            labels: Vec::new(),
             ready: agent.ready,
-        };
-        self.deliver_announcement(index, announcement);
+        }
     }
 
-    /// Lets an agent handle an announcement, unless its process is down or paused.
-    fn deliver_announcement(&mut self, index: usize, announcement: Announcement) {
-        let agent = &mut self.agents[index];
-        if agent.agent.is_some() && !agent.paused {
-            if !agent.ready {
-                agent.drain_seen_at.get_or_insert(self.now_us);
-            }
-            self.drive_agent(index, |agent, now| {
-                agent.handle_announcement(announcement, now);
-            });
-            if !std::mem::replace(&mut self.agents[index].renews_lease, true) {
-                self.renew_lease(index, false);
-            }
+    /// Lets an agent handle an announcement. Returns whether the agent acknowledges it, `None` if its
+    /// process is down or paused.
+    fn deliver_announcement(&mut self, index: usize, announcement: Announcement) -> Option<bool> {
+        let agent = &self.agents[index];
+        if agent.agent.is_none() || agent.paused {
+            return None;
+        }
+        let mut is_acknowledged = false;
+        self.drive_agent(index, |agent, now| {
+            is_acknowledged = agent.handle_announcement(announcement, now);
+        });
+        if !std::mem::replace(&mut self.agents[index].renews_lease, true) {
+            self.renew_lease(index, false);
         }
+        Some(is_acknowledged)
     }
 
     /// Sends the next lease renewal of an agent, unless it has started again since the event was
@@ -638,7 +659,7 @@
                         self.send_message(id, true, Message::Report(id, report));
                     }
                 }
-                agent::Action::CountEnd(_evidence) => {}
+                agent::Action::CountEnd(_) | agent::Action::CountDoubt(_) => {}
                 agent::Action::WriteLog(line) => self.trace("agent", index, &line),
             }
         }
--- a/crates/core/tests/spool_agent.rs
+++ b/crates/core/tests/spool_agent.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use ibisspool_core::spool::agent::{
-    Action, Agent, Announcement, ConnectionKey, Ended, Listing, RunKey, Running, StartAnswer,
+    Action, Agent, Announcement, ConnectionKey, Ended, Listing, Profile, RunKey, Running,
+    StartAnswer,
 };
 use ibisspool_core::spool::entry::placement::queueing_timeout;
 use ibisspool_core::spool::job::{Id, Resources, TaskName};
@@ -26,14 +27,17 @@
     Announcement {
         incarnation: Arc::from(format!("i-{born}")),
         started_at_ms: born,
+        clock_ms: sequence,
         sequence,
-        service: Arc::from("desk"),
-        capacity: Resources {
-            cpu_millicores: 2_000,
-            memory_mb: 1_024,
-            accelerators: 0,
+        profile: Profile {
+            service: Arc::from("desk"),
+            capacity: Resources {
+                cpu_millicores: 2_000,
+                memory_mb: 1_024,
+                accelerators: 0,
+            },
+            labels: Vec::new(),
         },
-        labels: Vec::new(),
         ready,
     }
 }
--- a/crates/core/tests/spool_random.rs
+++ b/crates/core/tests/spool_random.rs
@@ -15,7 +15,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use world::scenario::has_distinct_ids;
-use world::{Fault, Job, MS, Mutant, RunResult, Scenario, World};
+use world::{Fault, Foreign, Job, MS, Mutant, RunResult, Scenario, World};
 
 /// Number of seeds if `IBISSPOOL_SEEDS` isn't set.
 const DEFAULT_SEEDS: u64 = 1_500;
@@ -115,13 +115,38 @@
             let announced_after_us = [0, 5, 100, 1_500][random.random_range(0..4)] * MS;
             Fault::RestartServerUnderItsName(server, announced_after_us)
         } else {
-            Fault::ForeignAnnouncement(server, random.random_bool(0.5))
+            let foreign = if random.random_bool(0.5) {
+                Foreign::OtherStart
+            } else {
+                Foreign::OtherName
+            };
+            Fault::ForeignAnnouncement(server, foreign)
         };
         (random.random_range(500_000..5_000_000), fault)
     });
     faults.collect()
 }
 
+/// Draws announcements of another writer in the name of a server. A separate random generator keeps
+/// the other faults of a seed as they are.
+fn draw_false_announcements(seed: u64, servers: usize) -> Vec<(u64, Fault)> {
+    const KINDS: [Foreign; 3] = [
+        Foreign::NoStart,
+        Foreign::OtherCapacity,
+        Foreign::AheadOfClock,
+    ];
+    let mut random = SmallRng::seed_from_u64(seed.rotate_left(16));
+    let announcements = (0..random.random_range(2..9)).map(|_| {
+        let server = random.random_range(0..servers);
+        let foreign = KINDS[random.random_range(0..KINDS.len())];
+        (
+            random.random_range(100..5_000) * MS,
+            Fault::ForeignAnnouncement(server, foreign),
+        )
+    });
+    announcements.collect()
+}
+
 /// Draws times in which backend servers refuse connections while they live. A separate random
 /// generator keeps the other faults of a seed as they are.
 fn draw_refused_connections(seed: u64, servers: usize) -> Vec<(u64, Fault)> {
@@ -233,6 +258,9 @@
     } else if seed.is_multiple_of(3) {
         faults.append(&mut draw_unclear_incarnations(seed, servers));
     }
+    if seed.is_multiple_of(5) {
+        faults.append(&mut draw_false_announcements(seed, servers));
+    }
     if seed.is_multiple_of(7) {
         faults.append(&mut draw_refused_connections(seed, servers));
     }
