fix(spool): queued tasks that a new incarnation cannot run are declined

Cause: the agent compared a task with its server's service and size on arrival only; waiting tasks were declined only if the server took none at all.

Change: on each change of the server's state, the waiting tasks that it can't run are declined as closed.

Test: tasks_that_the_next_incarnation_cannot_run_do_not_start_there fails without the change.

--- a/crates/core/src/spool/agent/backend.rs
+++ b/crates/core/src/spool/agent/backend.rs
@@ -105,7 +105,7 @@
         if let Some(backend) = self.backend.as_mut().filter(is_current) {
             backend.announced.record_deregistration();
             self.log(LogLine::new("The backend server deregistered."));
-            self.decline_queued_if_closed(now);
+            self.decline_queued_that_cannot_run(now);
         }
     }
 
@@ -275,7 +275,7 @@
             backend.is_unreachable = true;
             let line = LogLine::warn("The backend server is unreachable.").with("refused", refused);
             self.log(line);
-            self.decline_queued_if_closed(now);
+            self.decline_queued_that_cannot_run(now);
             self.schedule_load_reports(now.mono);
         }
         if is_first {
--- a/crates/core/src/spool/agent/entry_messages.rs
+++ b/crates/core/src/spool/agent/entry_messages.rs
@@ -22,7 +22,7 @@
                 .with("data_centres", data_centres.join(","));
             self.out_of_service = (version, data_centres);
             self.log(line);
-            self.decline_queued_if_closed(now);
+            self.decline_queued_that_cannot_run(now);
         }
         for ticket in order.cancels {
             self.cancel(connection, ticket, now);
@@ -147,20 +147,21 @@
         is_ready && !is_out_of_service && !self.is_draining
     }
 
-    /// Declines all queued runs if no new task may start here any more, so that their entries can
-    /// place them elsewhere.
-    pub(super) fn decline_queued_if_closed(&mut self, now: Now) {
-        if self.is_accepting_tasks() {
-            return;
-        }
+    /// Declines the queued runs that may not start here any more, so that their entries can place them
+    /// elsewhere: all if the server is closed, otherwise those of another service or too large.
+    pub(super) fn decline_queued_that_cannot_run(&mut self, now: Now) {
         for key in self.queued_runs() {
-            self.finish_run(
-                key,
-                End::NotStarted(DeclineReason::Closed),
-                Evidence::NeverSent,
-                now,
-            );
+            if !self.can_run(&self.runs[key].start) {
+                self.finish_run(
+                    key,
+                    End::NotStarted(DeclineReason::Closed),
+                    Evidence::NeverSent,
+                    now,
+                );
+            }
+        }
+        if !self.is_accepting_tasks() {
+            self.schedule_load_reports(now.mono);
         }
-        self.schedule_load_reports(now.mono);
     }
 }
--- a/crates/core/src/spool/agent/incarnation.rs
+++ b/crates/core/src/spool/agent/incarnation.rs
@@ -90,7 +90,7 @@
                 .with("ready", after.ready)
                 .with("cpu", after.capacity.cpu_millicores);
             self.log(line);
-            self.decline_queued_if_closed(now);
+            self.decline_queued_that_cannot_run(now);
             self.schedule_load_reports(now.mono);
         }
         recorded
@@ -325,7 +325,7 @@
             long_lease_until: has_kept_runs
                 .then(|| now.mono.plus(self.safety.longest_lease_duration())),
         });
-        self.decline_queued_if_closed(now);
+        self.decline_queued_that_cannot_run(now);
         self.schedule_load_reports(now.mono);
     }
 
--- a/crates/core/tests/spool_incarnation.rs
+++ b/crates/core/tests/spool_incarnation.rs
@@ -9,7 +9,7 @@
 
 use agent_fixture::*;
 use ibisspool_core::spool::agent::{Action, Agent, Announcement, Ended, Listing, StartAnswer};
-use ibisspool_core::spool::message::{AgentHello, DeclineReason, DispatchId, End, Order};
+use ibisspool_core::spool::message::{AgentHello, DeclineReason, DispatchId, End, Order, Report};
 
 /// Guards against double runs after a status report of another writer: it made the agent report all
 /// runs of its server as lost while they went on.
@@ -488,6 +488,33 @@
     assert_eq!(take_ends(&mut agent), []);
 }
 
+/// Guards against a server that gets the tasks of another service, or larger ones than it can hold: they
+/// were queued for the incarnation before.
+#[test]
+fn tasks_that_the_next_incarnation_cannot_run_do_not_start_there() {
+    for next in [profile("archive", 2_000), profile("desk", 500)] {
+        let (mut agent, link) = connected_agent();
+        for job in 1..=4 {
+            send(&mut agent, link, job, at(10));
+        }
+        let before = take_started_jobs(&mut agent);
+
+        let restarted = Announcement {
+            profile: next.clone(),
+            ..announcement("i-2", REBORN, 1)
+        };
+        agent.handle_announcement(restarted, at(20));
+        agent.handle_listing(&empty_listing("i-2", REBORN, 2), at(21).mono, at(22));
+        let actions = agent.take_actions();
+
+        let declined = |report: &Report| report.outcomes.iter().any(|o| o.ticket.0 == 4);
+        let is_start = |action: &Action| matches!(action, Action::Start { .. });
+        assert_eq!(before, [1, 2, 3], "three tasks fit");
+        assert!(!actions.iter().any(is_start), "{next:?}");
+        assert!(reports(&actions).any(declined), "{next:?}");
+    }
+}
+
 /// Guards against a server that gets the tasks of another service, and more than it can hold: a report
 /// that did not tell when its writer had started counted as the server's own.
 #[test]
