fix(spool): a false clock reading does not shut out later run lists

What callers could see: tasks of one server that never end, and a server that gets no more work, after one answer with a clock that is too high.

Cause: an answer with a lower clock than the last one was taken for an older one, although its poll was sent later.

Change: an answer is older only if its poll was sent before the last reading arrived. A clock that went back is logged, and the longest lease is allowed for.

Test: one_false_clock_reading_shuts_out_no_later_lists fails without the change; the test beside it keeps answers out that were overtaken, as before.

--- a/crates/core/src/spool/agent/backend.rs
+++ b/crates/core/src/spool/agent/backend.rs
@@ -291,7 +291,7 @@
 
     /// Allows for a lease of the longest duration, since a start request that named an end on the
     /// clock of an earlier incarnation may have been accepted just now.
-    fn allow_for_long_lease(&mut self, now: Monotonic) {
+    pub(super) fn allow_for_long_lease(&mut self, now: Monotonic) {
         let until = now.plus(self.safety.longest_lease_duration());
         if let Some(backend) = self.backend.as_mut() {
             backend.long_lease_until = backend.long_lease_until.max(Some(until));
--- a/crates/core/src/spool/agent/incarnation.rs
+++ b/crates/core/src/spool/agent/incarnation.rs
@@ -210,9 +210,11 @@
         if let Some(backend) =
             known.filter(|b| b.is_incarnation(&listing.incarnation, listing.started_at_ms))
         {
-            let is_outdated = backend
-                .clock_reading
-                .is_some_and(|reading| listing.clock_ms < reading.clock_ms);
+            // The server's clock only rises, so an answer to a later request counts whatever it shows:
+            // the earlier reading was false.
+            let is_outdated = backend.clock_reading.is_some_and(|reading| {
+                listing.clock_ms < reading.clock_ms && poll_sent_at <= reading.received_at
+            });
             if !is_outdated {
                 self.drop_claims(|claim| claim.received_at < poll_sent_at);
             }
--- a/crates/core/src/spool/agent/reconcile.rs
+++ b/crates/core/src/spool/agent/reconcile.rs
@@ -87,7 +87,7 @@
 }
 
 impl Agent {
-    /// Handles the answer to a long poll that was sent at `poll_sent_at`. An answer that is older
+    /// Handles the answer to a long poll that was sent at `poll_sent_at`. An answer that may be older
     /// than the last one handled is ignored, as is one of an earlier incarnation.
     pub fn handle_listing(&mut self, listing: &Listing, poll_sent_at: Monotonic, now: Now) {
         self.handle_expiries(now);
@@ -114,7 +114,7 @@
         let Some(backend) = self.backend.as_mut() else {
             return;
         };
-        backend.clock_reading = Some(ClockReading {
+        let previous = backend.clock_reading.replace(ClockReading {
             clock_ms: listing.clock_ms,
             requested_at: poll_sent_at,
             received_at: now.mono,
@@ -128,6 +128,14 @@
             self.log(LogLine::new("The backend server is reachable again."));
             self.schedule_load_reports(now.mono);
         }
+        if let Some(previous) = previous.filter(|reading| listing.clock_ms < reading.clock_ms) {
+            // Leases since then ended too late on the true clock.
+            self.allow_for_long_lease(now.mono);
+            let line = LogLine::warn("The backend server's clock went back.")
+                .with("from_ms", previous.clock_ms)
+                .with("to_ms", listing.clock_ms);
+            self.log(line);
+        }
     }
 
     fn process_ends(&mut self, listing: &Listing, poll_sent_at: Monotonic, now: Now) {
--- a/crates/core/tests/spool_incarnation.rs
+++ b/crates/core/tests/spool_incarnation.rs
@@ -488,6 +488,60 @@
     assert_eq!(take_ends(&mut agent), []);
 }
 
+/// Guards against a server whose lists are ignored for the rest of its life, after one answer with a
+/// clock that is too high. The leases since then ended too late on the server's clock.
+#[test]
+fn one_false_clock_reading_shuts_out_no_later_lists() {
+    let (mut agent, link) = connected_agent();
+    agent.handle_listing(&empty_listing(NAME, BORN, 60_000), at(10).mono, at(11));
+    let (_key, number) = start_and_confirm(&mut agent, link, 1, at(12));
+    agent.take_actions();
+
+    let lists = Listing {
+        running: vec![running(1, number)],
+        ..empty_listing(NAME, BORN, 513)
+    };
+    agent.handle_listing(&lists, at(13).mono, at(14));
+    let poll = agent.next_poll(at(15)).expect("the server is known");
+    let expiry = 15 + safety().max_lease_duration().as_millis() as u64;
+    agent.handle_tick(at(expiry + 2));
+    let early = take_ends(&mut agent);
+    let ended = Ended {
+        sequence: 1,
+        start_number: number,
+        end: End::Done,
+    };
+    let ends = Listing {
+        ended: vec![ended],
+        ..empty_listing(NAME, BORN, 1_200)
+    };
+    agent.handle_listing(&ends, at(expiry + 3).mono, at(expiry + 4));
+
+    let lease_ms = safety().lease.as_millis() as u64;
+    assert!(
+        poll.lease_until_ms
+            .is_some_and(|until| until <= 515 + lease_ms)
+    );
+    assert_eq!(early, [], "the server may hold the longest lease");
+    assert_eq!(take_ends(&mut agent), [(1, End::Done)]);
+}
+
+/// Guards against an answer that was overtaken and sets the known clock back.
+#[test]
+fn lists_requested_before_the_last_clock_reading_are_ignored_if_their_clock_is_lower() {
+    let (mut agent, link) = connected_agent();
+    start_and_confirm(&mut agent, link, 1, at(12));
+    let lists = Listing {
+        running: vec![running(1, 1_000_012)],
+        ..empty_listing(NAME, BORN, 520)
+    };
+    agent.handle_listing(&lists, at(19).mono, at(20));
+
+    agent.handle_listing(&empty_listing(NAME, BORN, 518), at(18).mono, at(22));
+
+    assert_eq!(take_ends(&mut agent), []);
+}
+
 /// Guards against a server that gets the tasks of another service, or larger ones than it can hold: they
 /// were queued for the incarnation before.
 #[test]
