fix(spool): an echo ahead of the agent's clock keeps no entry alive

What callers could see: tasks of a failed entry that run on beside their next attempt.

Cause: an agent counted an entry as alive until 0.4 s after any timestamp that the entry echoed, also one in the agent's future.

Change: a stamp that the agent's own clock does not show yet counts as none.

Test: an_echo_ahead_of_the_agents_clock_keeps_no_entry_alive fails without the change. Virtual time only.

--- a/crates/core/src/spool/agent/entry_messages.rs
+++ b/crates/core/src/spool/agent/entry_messages.rs
@@ -44,14 +44,17 @@
     /// still known.
     ///
     /// The time counts from when the agent sent that stamp, not from when the message arrived: a
-    /// message that was delayed on the way must not extend the permission to run tasks.
+    /// message that was delayed on the way must not extend the permission to run tasks. A stamp that
+    /// the agent's clock does not show yet is none of its own.
     fn record_entry_message(&mut self, key: ConnectionKey, order: &Order, now: Now) -> bool {
         let silence = self.safety.entry_silence_limit;
         let Some(connection) = self.connections.get_mut(key) else {
             return false;
         };
         connection.last_sequence = order.sequence;
-        if let Some(echo) = order.echoed_timestamp {
+        if let Some(echo) = order.echoed_timestamp
+            && echo.0 <= now.mono.0
+        {
             let until = Monotonic(echo.0).plus(silence);
             if until > now.mono {
                 connection.alive_until = connection.alive_until.max(until);
--- a/crates/core/tests/spool_agent.rs
+++ b/crates/core/tests/spool_agent.rs
@@ -163,6 +163,22 @@
     );
 }
 
+/// Guards against tasks of a silent entry that run on: an echo that no report of the agent had carried
+/// counted the entry as alive until that time.
+#[test]
+fn an_echo_ahead_of_the_agents_clock_keeps_no_entry_alive() {
+    let (mut agent, link) = connected_agent();
+    let ahead = Order {
+        echoed_timestamp: Some(Timestamp(at(60_000).mono.0)),
+        ..message(at(10), 1, vec![task(1, 500)])
+    };
+
+    agent.handle_order(link, ahead, at(10));
+
+    let outcomes = take_outcomes(&mut agent);
+    assert_eq!(outcomes[0].end, End::NotStarted(DeclineReason::Stale));
+}
+
 #[test]
 fn a_task_in_a_message_with_an_old_echo_is_declined_as_stale() {
     let (mut agent, link) = connected_agent();
