fix(spool): a report that a false clock let pass makes no other outdated

What callers could see: a server that takes no tasks for as long as a false reading of its clock was ahead, if a false report came meanwhile.

Cause: reports are ordered by the server's clock, and the newest one kept its place after a later answer had set the clock back.

Change: a report whose clock is ahead of the present reading makes none outdated.

Test: an_announcement_believed_by_a_false_clock_shuts_out_no_later_one fails without the change. Virtual time only.

--- a/crates/core/src/spool/agent/announcement.rs
+++ b/crates/core/src/spool/agent/announcement.rs
@@ -166,7 +166,8 @@
         clock: Option<ClockReading>,
         now: Monotonic,
     ) -> Result<(), Doubt> {
-        if clock.is_some_and(|reading| !reading.allows(announcement.clock_ms, now)) {
+        let is_ahead = |clock_ms| clock.is_some_and(|reading| !reading.allows(clock_ms, now));
+        if is_ahead(announcement.clock_ms) {
             return Err(Doubt::AheadOfClock);
         }
         let is_first = self.newest.is_none();
@@ -174,7 +175,9 @@
             self.challenge(&announcement.profile, now)?;
         }
         let order_key = announcement.order_key();
-        if self.newest.is_some_and(|newest| order_key < newest) {
+        // One that was believed by a false reading of the clock makes no other outdated.
+        let newest = self.newest.filter(|(clock_ms, _)| !is_ahead(*clock_ms));
+        if newest.is_some_and(|newest| order_key < newest) {
             return Err(Doubt::Outdated);
         }
         self.is_repeated = !is_first;
--- a/crates/core/tests/spool_announcement.rs
+++ b/crates/core/tests/spool_announcement.rs
@@ -125,6 +125,24 @@
     assert!(jobs_started_by(&mut agent, link, 2, 31).is_empty());
 }
 
+/// Guards against a server whose own reports are ignored for a minute, after an answer with a false
+/// clock and a false report that agreed with it.
+#[test]
+fn an_announcement_believed_by_a_false_clock_shuts_out_no_later_one() {
+    let (mut agent, link) = connected_agent();
+    agent.handle_listing(&empty_listing(NAME, BORN, 60_000), at(10).mono, at(11));
+    let false_drain = Announcement {
+        ready: false,
+        ..own_announcement(2, 59_520)
+    };
+    agent.handle_announcement(false_drain, at(20));
+    agent.handle_listing(&empty_listing(NAME, BORN, 530), at(30).mono, at(31));
+
+    let repeated_at = repeat_announcement(&mut agent);
+
+    assert_eq!(jobs_started_by(&mut agent, link, 1, repeated_at + 1), [1]);
+}
+
 /// Guards against a server that gets the tasks of another service, or more than it can hold: a report
 /// in its name changed what it had announced before.
 #[test]
