fix(spool): lost reports let no false one replace what a server repeated

What callers could see: a server over its capacity. Two false reports more than 2 s apart replaced a profile that the server had repeated, as its agent was paused between them and missed the server's own. And a false claim that the server's clock refutes took the server's own claim with it, so that a single false report could come first.

Change: to replace a profile that was told once takes 3 reports in 2 s without the known one, one that was repeated 5 in 6 s. Claims of one incarnation don't replace each other; of contradicting ones, the profile told most often is adopted.

--- a/crates/core/src/spool/agent/announcement.rs
+++ b/crates/core/src/spool/agent/announcement.rs
@@ -16,9 +16,26 @@
 /// rounding and an agent whose own clock is slow.
 const CLOCK_TOLERANCE: Duration = Duration::from_millis(100);
 
-/// Time for which a server has to announce another profile, and never the known one, before the agent
-/// takes it over: longer than the interval between two announcements of a server.
-const RIVAL_TIME: Duration = Duration::from_secs(2);
+/// How often and for how long another profile has to be announced, and the known one never, before the
+/// agent takes it over.
+#[derive(Debug, Clone, Copy)]
+struct Threshold {
+    announcements: u32,
+    time: Duration,
+}
+
+/// Threshold if the known profile was announced once, and so may be the false one. The time is longer
+/// than the interval between two announcements of a server.
+const RIVAL_OF_SINGLE: Threshold = Threshold {
+    announcements: 3,
+    time: Duration::from_secs(2),
+};
+
+/// Threshold if the known profile was repeated. The time allows for several lost announcements.
+const RIVAL_OF_REPEATED: Threshold = Threshold {
+    announcements: 5,
+    time: Duration::from_secs(6),
+};
 
 /// What an incarnation of a backend server keeps until its end.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -101,6 +118,8 @@
 struct Rival {
     profile: Profile,
     first_announced_at: Monotonic,
+    /// Number of announcements, none of the known profile between them.
+    announcements: u32,
 }
 
 /// What the known incarnation of the backend server has announced.
@@ -192,18 +211,28 @@
     /// two is false: that which the server does not repeat.
     ///
     /// # Errors
-    /// Fails until `profile` has been announced for [`RIVAL_TIME`].
+    /// Fails until `profile` has reached the threshold.
     fn challenge(&mut self, profile: &Profile, now: Monotonic) -> Result<(), Doubt> {
+        let threshold = if self.is_repeated {
+            RIVAL_OF_REPEATED
+        } else {
+            RIVAL_OF_SINGLE
+        };
         let rival = match &mut self.rival {
             Some(rival) if rival.profile == *profile => rival,
             other => other.insert(Rival {
                 profile: profile.clone(),
                 first_announced_at: now,
+                announcements: 0,
             }),
         };
-        if now.since(rival.first_announced_at) < RIVAL_TIME {
-            return Err(Doubt::Contradiction);
+        rival.announcements += 1;
+        let has_reached_threshold = rival.announcements >= threshold.announcements
+            && now.since(rival.first_announced_at) >= threshold.time;
+        if has_reached_threshold {
+            Ok(())
+        } else {
+            Err(Doubt::Contradiction)
         }
-        Ok(())
     }
 }
--- a/crates/core/src/spool/agent/incarnation.rs
+++ b/crates/core/src/spool/agent/incarnation.rs
@@ -98,15 +98,13 @@
 
     /// Keeps an announcement until the server's answer to a poll confirms or refutes it.
     fn add_claim(&mut self, announcement: Announcement, now: Monotonic) {
-        let is_repeated = |claim: &Claim| {
-            claim.announcement.incarnation == announcement.incarnation
-                && claim.announcement.started_at_ms == announcement.started_at_ms
-                && claim.announcement.profile == announcement.profile
-        };
-        if let Some(claim) = self.claims.iter_mut().find(|claim| is_repeated(claim)) {
-            if claim.announcement.order_key() <= announcement.order_key() {
-                claim.announcement = announcement;
-            }
+        // A claim does not replace another one of the same incarnation: which of them are false shows
+        // only with the server's answer.
+        if self
+            .claims
+            .iter()
+            .any(|claim| claim.announcement == announcement)
+        {
             return;
         }
         let line = LogLine::new("Checking an announcement of another incarnation.")
@@ -271,7 +269,7 @@
     }
 
     /// Switches to an incarnation that was announced as `claims` tell and whose answer to a poll sent
-    /// at `poll_sent_at` is `listing`.
+    /// at `poll_sent_at` is `listing`. Of contradicting claims, the profile told most often counts.
     fn adopt_announced(
         &mut self,
         claims: Claims,
@@ -279,11 +277,20 @@
         poll_sent_at: Monotonic,
         now: Now,
     ) {
-        let mut announcements = claims.into_iter().map(|claim| claim.announcement);
-        let Some(first) = announcements.next() else {
+        let mut announcements: Vec<Announcement> =
+            claims.into_iter().map(|claim| claim.announcement).collect();
+        let support = |index: &usize| {
+            let profile = &announcements[*index].profile;
+            announcements
+                .iter()
+                .filter(|a| a.profile == *profile)
+                .count()
+        };
+        let Some(first) = (0..announcements.len()).rev().max_by_key(support) else {
             return;
         };
-        self.adopt_incarnation(Announced::new(first), listing, poll_sent_at, now);
+        let announced = Announced::new(announcements.remove(first));
+        self.adopt_incarnation(announced, listing, poll_sent_at, now);
         for announcement in announcements {
             // A contradiction closes the server until it has repeated what it offers.
             let _doubt = self.update_backend(announcement, now);
--- a/crates/core/tests/spool_announcement.rs
+++ b/crates/core/tests/spool_announcement.rs
@@ -203,6 +203,55 @@
     assert_eq!(started, [2, 3, 4], "three tasks fit");
 }
 
+/// Guards against false reports that win because some of the server's own were lost: two of them, more
+/// than 2 s apart, replaced what the server had repeated (random search, seed 100565).
+#[test]
+fn a_repeated_profile_outlasts_false_announcements_while_the_servers_own_are_lost() {
+    let (mut agent, link) = connected_agent();
+    let repeated_at = repeat_announcement(&mut agent);
+
+    for round in 1..=4 {
+        let millis = repeated_at + round * INTERVAL_MS;
+        let false_one = Announcement {
+            profile: profile("desk", 8_000),
+            ..own_announcement(4_000, millis)
+        };
+        assert!(!agent.handle_announcement(false_one, at(millis)));
+    }
+    let after = repeated_at + 4 * INTERVAL_MS + 1;
+    agent.handle_listing(
+        &empty_listing(NAME, BORN, 500 + after),
+        at(after).mono,
+        at(after + 1),
+    );
+    let started: Vec<u64> = (1..=4)
+        .flat_map(|job| jobs_started_by(&mut agent, link, job, after + 1 + job))
+        .collect();
+
+    assert_eq!(started, [1, 2, 3], "three tasks fit");
+}
+
+/// Guards against a server that is shut out for its life because another writer repeated itself first.
+#[test]
+fn a_server_outlasts_a_false_profile_that_was_repeated() {
+    let (mut agent, link) = new_agent();
+    let false_first = |sequence, millis| Announcement {
+        profile: profile("archive", 8_000),
+        ..own_announcement(sequence, millis)
+    };
+    agent.handle_announcement(false_first(1, 0), at(1));
+    agent.handle_listing(&empty_listing(NAME, BORN, 502), at(2).mono, at(3));
+    agent.handle_announcement(false_first(2, 5), at(5));
+
+    for round in 0..5 {
+        let millis = 10 + round * INTERVAL_MS;
+        agent.handle_announcement(own_announcement(1 + round, millis), at(millis));
+    }
+
+    let settled_at = 10 + 4 * INTERVAL_MS;
+    assert_eq!(jobs_started_by(&mut agent, link, 1, settled_at + 1), [1]);
+}
+
 /// Guards against a server that stays closed: one false report before the server has repeated itself.
 #[test]
 fn a_server_that_repeats_itself_is_used_on_after_a_contradiction() {
@@ -267,3 +316,42 @@
     assert!(by_false.is_empty());
     assert_eq!(jobs_started_by(&mut agent, link, 2, 13), [2]);
 }
+
+/// Guards against a false report that takes the server's own with it when the server's clock refutes it
+/// (random search, seed 120650).
+#[test]
+fn a_refuted_claim_does_not_replace_the_servers_own() {
+    let (mut agent, link) = new_agent();
+    let ahead = Announcement {
+        sequence: 4_000,
+        ..own_announcement(1, 60_000)
+    };
+    agent.handle_announcement(own_announcement(1, 0), at(1));
+    agent.handle_announcement(ahead, at(1));
+
+    agent.handle_listing(&empty_listing(NAME, BORN, 502), at(2).mono, at(3));
+    agent.handle_listing(&empty_listing(NAME, BORN, 504), at(4).mono, at(5));
+
+    assert_eq!(jobs_started_by(&mut agent, link, 1, 6), [1]);
+}
+
+/// Guards against one false claim that wins over several of the server's own because it is the oldest
+/// (random search, seed 113715).
+#[test]
+fn the_profile_that_most_claims_tell_is_adopted() {
+    let (mut agent, link) = new_agent();
+    let false_first = Announcement {
+        profile: profile("desk", 8_000),
+        ..own_announcement(4_000, 0)
+    };
+    agent.handle_announcement(false_first, at(1));
+    agent.handle_announcement(own_announcement(1, 10), at(10));
+    agent.handle_announcement(own_announcement(2, 20), at(20));
+
+    agent.handle_listing(&empty_listing(NAME, BORN, 522), at(22).mono, at(23));
+    let started: Vec<u64> = (1..=4)
+        .flat_map(|job| jobs_started_by(&mut agent, link, job, 23 + job))
+        .collect();
+
+    assert_eq!(started, [1, 2, 3], "three tasks fit");
+}
--- a/crates/core/tests/spool_random.rs
+++ b/crates/core/tests/spool_random.rs
@@ -366,8 +366,10 @@
 /// Seeds that once violated an invariant. 17727: an entry that resumed after a pause dispatched a
 /// task again before it read that the caller had closed its connection. 10: a list of runs was
 /// requested before a run was known, at the same reading of a coarse clock, and its answer made an
-/// agent take the run for lost.
-const REGRESSION_SEEDS: [u64; 2] = [17_727, 10];
+/// agent take the run for lost. 100565: two false announcements replaced what a server had repeated, as
+/// one of its own was lost. 113715 and 120650: a false claim replaced the server's own and was refuted with
+/// it.
+const REGRESSION_SEEDS: [u64; 5] = [17_727, 10, 100_565, 113_715, 120_650];
 
 #[test]
 fn seeds_that_once_violated_an_invariant_pass() {
