fix(deploy): start both roles where the limits of the VM are not given

Cause: the commands named {{limits.memoryMb}} and {{limits.maxFds}}, and the settings had no value for "not known": an empty text was an error, unreadable /proc/meminfo counted as 1 TB, and an unlimited number of descriptors overflowed the share of each listener.

The module of the limits moves out of `spool`, since the durable interface gets them too.

--- a/crates/agent/src/spool.rs
+++ b/crates/agent/src/spool.rs
@@ -12,8 +12,8 @@
 
 use anyhow::{Context, Result};
 use ibisspool_core::spool::agent::TICK_INTERVAL;
+use ibisspool_kernel::connection_limits::ConnectionLimiters;
 use ibisspool_kernel::log::LogBatches;
-use ibisspool_kernel::spool::connection_limits::ConnectionLimiters;
 use ibisspool_kernel::spool::{self as common, Signals};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
--- a/crates/entry/src/spool.rs
+++ b/crates/entry/src/spool.rs
@@ -13,8 +13,8 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result};
+use ibisspool_kernel::connection_limits::ConnectionLimiters;
 use ibisspool_kernel::log::LogBatches;
-use ibisspool_kernel::spool::connection_limits::ConnectionLimiters;
 use ibisspool_kernel::spool::{self as common, Signals};
 use ibisspool_kernel::web::{self, ShutdownTrigger};
 use tokio::net::TcpListener;
--- a/crates/kernel/src/spool/connection_limits.rs
+++ b/crates/kernel/src/connection_limits.rs
@@ -6,10 +6,10 @@
 use ibisspool_core::connection_budget::Limits;
 use nix::sys::resource::{Resource, getrlimit};
 
-use super::INTERNAL_HTTP_LIMITS;
 use crate::connection_limiter::{ConnectionLimiter, ConnectionMetrics};
 use crate::metrics::Metrics;
-use crate::settings::{Error, read_setting_in_range, setting_flag};
+use crate::settings::{Error, read_optional_in_range, setting_flag};
+use crate::spool::INTERNAL_HTTP_LIMITS;
 
 /// Memory that a connection can take at most besides its body: 8 KiB each for the read and the write
 /// buffer, a head of 16 KiB, 64 KiB of the kernel's buffers, and the task.
@@ -22,6 +22,9 @@
 /// bodies of the other listeners and the usual 20 MB of state, the whole stays within 160 MB.
 const BODY_SHARE_DIVISOR: u64 = 8;
 
+/// The same share for an entry that records jobs durably and keeps them for minutes after their end.
+const DURABLE_BODY_SHARE_DIVISOR: u64 = 16;
+
 /// Percentage of the memory for the connections of the main listener.
 const CONNECTION_MEMORY_PERCENT: u64 = 50;
 
@@ -40,9 +43,22 @@
 /// entries connect within a few hundred milliseconds.
 const MAX_UNKNOWN_PEERS: u64 = 256;
 
+/// Slowest mean rate of a body in bytes per second, after the first 30 s.
+const DEFAULT_MIN_BODY_RATE: u64 = 64;
+
 /// Largest memory that a VM can be said to have, in MB: 1 TB.
 const MAX_MEMORY_MB: u64 = 1 << 20;
 
+/// Memory that a process assumes at most if it is not told that of its VM, in MB. The smallest VM has
+/// as much.
+const DEFAULT_MEMORY_MB: u64 = 120;
+
+/// Most descriptors that a process can be said to open. A higher limit of the system counts as this.
+const MAX_DESCRIPTORS: u64 = 1 << 30;
+
+/// Descriptors that a process assumes if the system doesn't tell its limit: the usual default.
+const DEFAULT_DESCRIPTORS: u64 = 1_024;
+
 /// Settings of the limits of memory and descriptors.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Settings {
@@ -58,13 +74,13 @@
 
 impl Settings {
     /// Adds a flag for each setting to a command.
-    pub(super) fn add_flags(command: Command) -> Command {
+    pub fn add_flags(command: Command) -> Command {
         command
             .arg(
                 setting_flag(
                     "memory-mb",
                     "MB",
-                    "Memory of the VM; 0 for that of /proc/meminfo",
+                    "Memory of the VM; 0 for that of /proc/meminfo, but at most 120",
                 )
                 .default_value("0"),
             )
@@ -98,7 +114,7 @@
                     "BYTES",
                     "Slowest mean rate of a body in bytes per second after 30 s; 0 for any",
                 )
-                .default_value("64"),
+                .default_value(DEFAULT_MIN_BODY_RATE.to_string()),
             )
     }
 
@@ -107,80 +123,141 @@
     ///
     /// # Errors
     /// Fails on the first value that cannot be parsed, is out of range or does not fit.
-    pub(super) fn read(matches: &ArgMatches) -> Result<Self, Error> {
-        let number = |name: &str, max: u64| read_setting_in_range(matches, name, 0, max);
-        let or_else = |value: u64, default: u64| if value == 0 { default } else { value };
-        let memory_mb = or_else(number("memory-mb", MAX_MEMORY_MB)?, total_memory_mb());
-        let max_fds = or_else(number("max-fds", 1 << 30)?, descriptor_limit());
-        let body_kb = number("body-budget-kb", MAX_MEMORY_MB << 10)?;
-        let connections = number("max-connections", 1 << 20)?;
-        let min_body_rate = number("min-body-rate", 1 << 30)?;
-        Self::derive(memory_mb, max_fds, body_kb, connections, min_body_rate)
+    pub fn read(matches: &ArgMatches) -> Result<Self, Error> {
+        Given::read(matches)?.derive(INTERNAL_HTTP_LIMITS.body_bytes as u64)
     }
 
-    fn derive(
-        memory_mb: u64,
-        max_fds: u64,
-        body_kb: u64,
-        connections: u64,
-        min_body_rate: u64,
-    ) -> Result<Self, Error> {
-        let memory = memory_mb << 20;
-        let largest_body = INTERNAL_HTTP_LIMITS.body_bytes as u64;
-        let body_bytes = if body_kb == 0 {
-            (memory / BODY_SHARE_DIVISOR).max(largest_body)
-        } else {
-            body_kb << 10
+    /// Does the same as [`Settings::read`] for a process of the durable interface, whose main listener
+    /// takes bodies of up to `largest_body` bytes.
+    ///
+    /// # Errors
+    /// Fails on the first value that cannot be parsed, is out of range or does not fit.
+    pub fn read_durable(matches: &ArgMatches, largest_body: usize) -> Result<Self, Error> {
+        let given = Given {
+            body_share_divisor: DURABLE_BODY_SHARE_DIVISOR,
+            ..Given::read(matches)?
         };
-        if body_bytes < largest_body {
+        given.derive(largest_body as u64)
+    }
+
+    /// Creates the settings of a process of the durable interface that is told nothing of its VM, and
+    /// whose main listener takes bodies of up to `largest_body` bytes.
+    pub fn durable(largest_body: usize) -> Self {
+        let given = Given {
+            memory_mb: default_memory_mb(),
+            max_fds: descriptor_limit(),
+            body_kb: None,
+            connections: None,
+            min_body_rate: DEFAULT_MIN_BODY_RATE,
+            body_share_divisor: DURABLE_BODY_SHARE_DIVISOR,
+        };
+        given.limits(largest_body as u64)
+    }
+}
+
+/// What the limits are derived from.
+#[derive(Debug, Clone, Copy)]
+struct Given {
+    memory_mb: u64,
+    max_fds: u64,
+    body_kb: Option<u64>,
+    connections: Option<u64>,
+    min_body_rate: u64,
+    body_share_divisor: u64,
+}
+
+impl Given {
+    fn read(matches: &ArgMatches) -> Result<Self, Error> {
+        let number = |name: &str, max: u64| read_optional_in_range(matches, name, max);
+        Ok(Self {
+            memory_mb: number("memory-mb", MAX_MEMORY_MB)?.unwrap_or_else(default_memory_mb),
+            max_fds: number("max-fds", MAX_DESCRIPTORS)?.unwrap_or_else(descriptor_limit),
+            body_kb: number("body-budget-kb", MAX_MEMORY_MB << 10)?,
+            connections: number("max-connections", 1 << 20)?,
+            min_body_rate: number("min-body-rate", 1 << 30)?.unwrap_or(0),
+            body_share_divisor: BODY_SHARE_DIVISOR,
+        })
+    }
+
+    /// Returns the limits of the listeners, of which the main one takes bodies of up to
+    /// `largest_body` bytes.
+    ///
+    /// # Errors
+    /// Fails if the values do not fit each other.
+    fn derive(self, largest_body: u64) -> Result<Settings, Error> {
+        let settings = self.limits(largest_body);
+        let Limits {
+            body_bytes,
+            connections,
+            ..
+        } = settings.requests;
+        if (body_bytes as u64) < largest_body {
             let allowed = format!(
                 "at least {} for one body of the largest size; raise it or leave it out",
                 largest_body >> 10
             );
-            return Err(Error::new("body-budget-kb", body_kb, allowed));
+            return Err(Error::new("body-budget-kb", body_bytes >> 10, allowed));
         }
-        let descriptors = max_fds - FILE_DESCRIPTORS.min(max_fds / 4);
-        let share = |percent: u64| (descriptors * percent / 100).max(1);
-        let by_memory = (memory * CONNECTION_MEMORY_PERCENT / 100 / CONNECTION_BYTES).max(1);
-        let by_descriptors = share(REQUEST_DESCRIPTOR_PERCENT);
-        if connections > by_descriptors {
+        let by_descriptors = self.descriptor_share(REQUEST_DESCRIPTOR_PERCENT);
+        if connections as u64 > by_descriptors {
             let allowed = format!(
                 "at most {by_descriptors}, which is {REQUEST_DESCRIPTOR_PERCENT}% of the \
                  descriptors without those for files; lower it or raise --max-fds"
             );
             return Err(Error::new("max-connections", connections, allowed));
         }
-        let main_connections = if connections == 0 {
-            by_memory.min(by_descriptors)
-        } else {
-            connections
-        };
-        let needed = body_bytes + main_connections * CONNECTION_BYTES;
-        if needed > memory {
-            let needed_mb = needed.div_ceil(1 << 20);
-            let (name, value) = match (body_kb, connections) {
-                (0, 0) => ("memory-mb", memory_mb),
-                (0, connections) => ("max-connections", connections),
-                (body_kb, _) => ("body-budget-kb", body_kb),
-            };
-            let allowed = format!(
-                "what fits into the memory of {memory_mb} MB, and bodies and connections need \
-                 {needed_mb} MB; lower --body-budget-kb or --max-connections, or correct --memory-mb"
-            );
-            return Err(Error::new(name, value, allowed));
+        let needed = body_bytes as u64 + connections as u64 * CONNECTION_BYTES;
+        if needed > self.memory_mb << 20 {
+            return Err(self.memory_error(needed));
         }
+        Ok(settings)
+    }
+
+    /// Returns the share of the descriptors, without those for files.
+    fn descriptor_share(&self, percent: u64) -> u64 {
+        let descriptors = self.max_fds - FILE_DESCRIPTORS.min(self.max_fds / 4);
+        (descriptors * percent / 100).max(1)
+    }
+
+    /// Returns the limits of the listeners, without checking them.
+    fn limits(self, largest_body: u64) -> Settings {
+        let memory = self.memory_mb << 20;
+        let body_bytes = self.body_kb.map_or_else(
+            || (memory / self.body_share_divisor).max(largest_body),
+            |body_kb| body_kb << 10,
+        );
+        let by_memory = (memory * CONNECTION_MEMORY_PERCENT / 100 / CONNECTION_BYTES).max(1);
+        let by_descriptors = self.descriptor_share(REQUEST_DESCRIPTOR_PERCENT);
+        let main_connections = self.connections.unwrap_or(by_memory.min(by_descriptors));
         let limits = |body_bytes: u64, connections: u64| Limits {
             body_bytes: body_bytes as usize,
             connections: connections as usize,
-            min_body_rate,
+            min_body_rate: self.min_body_rate,
         };
-        let side = |percent, most| limits(largest_body, share(percent).min(most));
-        Ok(Self {
+        let internal_body = INTERNAL_HTTP_LIMITS.body_bytes as u64;
+        let side = |percent, most| limits(internal_body, self.descriptor_share(percent).min(most));
+        Settings {
             requests: limits(body_bytes, main_connections),
             readiness: side(READINESS_DESCRIPTOR_PERCENT, MAX_SIDE_CONNECTIONS),
             metrics: side(METRICS_DESCRIPTOR_PERCENT, MAX_SIDE_CONNECTIONS),
             unknown_peers: side(UNKNOWN_PEER_DESCRIPTOR_PERCENT, MAX_UNKNOWN_PEERS),
-        })
+        }
+    }
+
+    /// Returns the error for limits that need more bytes than the VM has.
+    fn memory_error(&self, needed: u64) -> Error {
+        let memory_mb = self.memory_mb;
+        let (name, value) = match (self.body_kb, self.connections) {
+            (Some(body_kb), _) => ("body-budget-kb", body_kb),
+            (None, Some(connections)) => ("max-connections", connections),
+            (None, None) => ("memory-mb", memory_mb),
+        };
+        let allowed = format!(
+            "what fits into the memory of {memory_mb} MB, and bodies and connections need {} MB; \
+             lower --body-budget-kb or --max-connections, or correct --memory-mb",
+            needed.div_ceil(1 << 20)
+        );
+        Error::new(name, value, allowed)
     }
 }
 
@@ -211,15 +288,17 @@
     }
 }
 
-/// Returns the memory of the machine in MB.
-fn total_memory_mb() -> u64 {
+/// Returns the memory in MB that a process may count on if it is not told that of its VM.
+fn default_memory_mb() -> u64 {
     let text = fs::read_to_string("/proc/meminfo").unwrap_or_default();
     let line = text.lines().find_map(|line| line.strip_prefix("MemTotal:"));
-    line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok())
-        .map_or(MAX_MEMORY_MB, |kb| kb >> 10)
+    let kb = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+    kb.map_or(DEFAULT_MEMORY_MB, |kb| (kb >> 10).min(DEFAULT_MEMORY_MB))
 }
 
 /// Returns how many descriptors the process may open.
 fn descriptor_limit() -> u64 {
-    getrlimit(Resource::RLIMIT_NOFILE).map_or(1_024, |(limit, _hard_limit)| limit)
+    getrlimit(Resource::RLIMIT_NOFILE).map_or(DEFAULT_DESCRIPTORS, |(limit, _hard_limit)| {
+        limit.min(MAX_DESCRIPTORS)
+    })
 }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod channel;
 pub mod clock;
 pub mod connection_limiter;
+pub mod connection_limits;
 pub mod http;
 pub mod log;
 pub mod metrics;
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -75,6 +75,23 @@
     Err(Error::new(name, value, allowed))
 }
 
+/// Parses a whole number of at most `max` that may be absent: `None` if it is 0, empty or not given.
+/// Platforms leave a setting without a value empty.
+///
+/// # Errors
+/// Fails if the value is not a whole number or is above `max`.
+pub fn read_optional_in_range(
+    matches: &ArgMatches,
+    name: &str,
+    max: u64,
+) -> Result<Option<u64>, Error> {
+    if matches.get_one::<String>(name).is_none_or(String::is_empty) {
+        return Ok(None);
+    }
+    let value = read_setting_in_range(matches, name, 0, max)?;
+    Ok((value > 0).then_some(value))
+}
+
 /// Reads a name of 1 to 64 ASCII letters, digits, dots and hyphens.
 ///
 /// # Errors
--- a/crates/kernel/src/spool.rs
+++ b/crates/kernel/src/spool.rs
@@ -1,8 +1,6 @@
 //! Startup and connection code of the two single-threaded processes that the subcommand `spool`
 //! runs: an entry and an agent for jobs that are not recorded durably.
 
-pub mod connection_limits;
-
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -22,6 +20,7 @@
 
 use crate::channel::Receiver;
 use crate::connection_limiter::ConnectionLimiter;
+use crate::connection_limits;
 use crate::log::LogBatches;
 use crate::metrics::Metrics;
 use crate::settings::{Error, read_name, read_setting, read_setting_in_range, setting_flag};
--- a/crates/kernel/tests/connection_limits.rs
+++ b/crates/kernel/tests/connection_limits.rs
@@ -1,8 +1,8 @@
 //! The limits that a process derives from its VM, and the errors of settings that do not fit.
 
 use clap::Command;
+use ibisspool_kernel::connection_limits;
 use ibisspool_kernel::spool::Settings;
-use ibisspool_kernel::spool::connection_limits;
 
 fn read(flags: &[&str]) -> Result<connection_limits::Settings, String> {
     let required = [
