fix: one HTTP server for the durable interface and the spool

What callers saw: crowds at `ibisspool serve` and `ibisspool-agent` ended the service for good or took all memory. Where descriptors ran out, no job was answered afterwards.

Cause: tiny_http gives no access to its connections. It bounds neither their number nor the length of a head, reads ahead whole pipelines, and ends its listener on the first EMFILE.

Change: `kernel::http` hands out whole requests of the server in `kernel::web`, on one thread, within a limiter whose settings both programs now have. What the interface promised stays: limits of heads and bodies, 10 s for a body, problem responses, for which `web::Options` has a function, and answers to callers that have closed their sending side. `web::Stream` gives hyper's bare refusals a body, ends writes that make no progress for 10 s, and lets a refused caller read its refusal, which a reset would discard; the spool gets the last too. tiny_http and its workarounds are gone from the product; one example still measures it.

--- a/crates/agent/src/announce.rs
+++ b/crates/agent/src/announce.rs
@@ -5,14 +5,14 @@
 use crossbeam::channel::Sender;
 use ibisspool_core::agent::Event;
 use ibisspool_core::refusal::{Ran, Reason, Refusal};
-use ibisspool_kernel::http;
+use ibisspool_kernel::http::{self, Method, Request};
+use ibisspool_kernel::web::Reply;
 use serde::Deserialize;
-use tiny_http::{Method, Request};
 
 use crate::metrics::Metrics;
 
 /// Largest accepted body of an announcement.
-const MAX_BODY_BYTES: usize = 64 << 10;
+pub const MAX_BODY_BYTES: usize = 64 << 10;
 
 /// Body of `PUT /v1/backend`, which the backend server repeats to show that it is alive.
 #[derive(Debug, Clone, Deserialize)]
@@ -60,20 +60,16 @@
 
 /// Serves one HTTP request of the backend server, a health check or a metrics scraper.
 pub fn handle(context: &Context, mut request: Request) {
-    let path = request
-        .url()
-        .split('?')
-        .next()
-        .unwrap_or_default()
-        .to_owned();
-    let reply = match (request.method(), path.as_str()) {
-        (Method::Get, "/healthz") => http::text_response(200, "text/plain", "ok\n"),
-        (Method::Get, "/readyz") => reply_readiness(context),
-        (Method::Get, "/metrics") => {
+    let method = request.method().clone();
+    let path = request.path().to_owned();
+    let reply = match (&method, path.as_str()) {
+        (&Method::GET, "/healthz") => http::text_response(200, "text/plain", "ok\n"),
+        (&Method::GET, "/readyz") => reply_readiness(context),
+        (&Method::GET, "/metrics") => {
             http::text_response(200, "text/plain; version=0.0.4", context.metrics.text())
         }
-        (Method::Put, "/v1/backend") => register_backend(context, &mut request),
-        (Method::Delete, "/v1/backend") => {
+        (&Method::PUT, "/v1/backend") => register_backend(context, &mut request),
+        (&Method::DELETE, "/v1/backend") => {
             let _ended = context.events.send(Event::Deregistered);
             http::text_response(204, "text/plain", "")
         }
@@ -83,10 +79,10 @@
             http::problem(404, &Refusal::new(Reason::NotFound, Ran::No, detail), None)
         }
     };
-    http::send_response(request, reply);
+    request.answer(reply);
 }
 
-fn reply_readiness(context: &Context) -> http::Reply {
+fn reply_readiness(context: &Context) -> Reply {
     match context.backend_address.get() {
         Some(_) => http::text_response(200, "text/plain", "ready\n"),
         None => http::text_response(
@@ -97,7 +93,7 @@
     }
 }
 
-fn register_backend(context: &Context, request: &mut Request) -> http::Reply {
+fn register_backend(context: &Context, request: &mut Request) -> Reply {
     match read_announcement(context, request) {
         Ok(announcement) => {
             context
@@ -112,7 +108,9 @@
 }
 
 fn read_announcement(context: &Context, request: &mut Request) -> Result<Announcement, String> {
-    let body = http::read_body(request, MAX_BODY_BYTES).map_err(|error| error.to_string())?;
+    let body = request
+        .take_body(MAX_BODY_BYTES)
+        .map_err(|error| error.to_string())?;
     let announcement: Announcement = serde_json::from_slice(&body)
         .map_err(|error| format!("the body is not an announcement: {error}"))?;
     if !(1..=context.max_slots).contains(&announcement.slots) {
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -28,6 +28,11 @@
 }
 
 impl Metrics {
+    /// Returns the registry, in which further parts of the process register their metrics.
+    pub fn registry(&self) -> &kernel::Metrics {
+        &self.registry
+    }
+
     /// Registers all metrics; every reason starts at zero, so that a scraper sees it before its
     /// first event.
     ///
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -8,6 +8,7 @@
 use crossbeam::channel::Sender;
 use ibisspool_core::agent::{Agent, Event};
 use ibisspool_kernel::clock::Clock;
+use ibisspool_kernel::connection_limits::ConnectionLimiters;
 use ibisspool_kernel::part::{Kernel, PartName};
 use ibisspool_kernel::{http, signal};
 use tokio::runtime::{Builder, Runtime};
@@ -116,15 +117,20 @@
     };
     let decider = kernel.spawn(PartName::Decider, move || decider.run(&mailbox));
 
+    let limiters = ConnectionLimiters::new(&settings.connection_limits, metrics.registry());
     let context = Context {
         events: events.clone(),
         backend_address,
         metrics,
         max_slots: settings.max_slots,
     };
-    let address = http::serve(&kernel, settings.listen, move |request| {
-        announce::handle(&context, request);
-    })?;
+    let address = http::serve(
+        &kernel,
+        settings.listen,
+        limiters.requests,
+        announce::MAX_BODY_BYTES,
+        move |request| announce::handle(&context, request),
+    )?;
     Ok(Running {
         address,
         events,
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -6,11 +6,14 @@
 use clap::{ArgMatches, Command};
 use ibisspool_core::agent::Bounds;
 use ibisspool_core::settings::Timing;
+use ibisspool_kernel::connection_limits;
 use ibisspool_kernel::log::Format;
 use ibisspool_kernel::settings::{
     Error, read_name, read_setting, read_setting_in_range, setting_flag,
 };
 
+use crate::announce::MAX_BODY_BYTES;
+
 const MILLIS_PER_DAY: u64 = 86_400_000;
 
 /// Checked settings of an agent.
@@ -39,6 +42,8 @@
     pub bounds: Bounds,
     /// Durations that entries and agents must agree on.
     pub timing: Timing,
+    /// Limits of memory and descriptors for the connections that the agent accepts.
+    pub connection_limits: connection_limits::Settings,
 }
 
 impl Settings {
@@ -57,13 +62,14 @@
             max_answer_bytes: 1 << 20,
             bounds: Bounds::default(),
             timing: Timing::default(),
+            connection_limits: connection_limits::Settings::durable(MAX_BODY_BYTES),
         }
     }
 
     /// Adds a flag for each setting to a command.
     pub fn add_flags(command: Command) -> Command {
         let defaults = Self::new("", "", Vec::new());
-        command
+        connection_limits::Settings::add_flags(command)
             .arg(
                 setting_flag(
                     "name",
@@ -189,6 +195,8 @@
         settings.max_answer_bytes = count("max-answer-bytes")?;
         settings.bounds.max_records = count("max-records")?;
         settings.bounds.max_output_bytes = count("max-output-bytes")?;
+        settings.connection_limits =
+            connection_limits::Settings::read_durable(matches, MAX_BODY_BYTES)?;
         Ok(settings)
     }
 }
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -11,10 +11,9 @@
 use ibisspool_core::job::{Id, Spec};
 use ibisspool_core::refusal::{Ran, Reason, Refusal};
 use ibisspool_core::time::Wall;
-use ibisspool_kernel::http;
+use ibisspool_kernel::http::{self, Method, Request};
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use tiny_http::{Method, Request};
 
 use crate::metrics::Metrics;
 use crate::operator::OperatorInterface;
@@ -64,43 +63,36 @@
     let Some(request) = context.operators.handle(request) else {
         return;
     };
-    let path = request
-        .url()
-        .split('?')
-        .next()
-        .unwrap_or_default()
-        .to_owned();
+    let path = request.path().to_owned();
     let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
     let method = request.method().clone();
     match (&method, parts.as_slice()) {
-        (Method::Get, ["healthz"]) => {
-            http::send_response(request, http::text_response(200, "text/plain", "ok\n"));
+        (&Method::GET, ["healthz"]) => {
+            request.answer(http::text_response(200, "text/plain", "ok\n"));
         }
-        (Method::Get, ["readyz"]) => reply_readiness(context, request),
-        (Method::Get, ["metrics"]) => {
-            http::send_response(
-                request,
-                http::text_response(200, "text/plain; version=0.0.4", context.metrics.text()),
-            );
+        (&Method::GET, ["readyz"]) => reply_readiness(context, request),
+        (&Method::GET, ["metrics"]) => {
+            let text = context.metrics.text();
+            request.answer(http::text_response(200, "text/plain; version=0.0.4", text));
         }
-        (Method::Post, ["v1", "jobs"]) => submit_job(context, request, None),
-        (Method::Put, ["v1", "jobs", id]) => submit_job(context, request, Some(id)),
-        (Method::Post, ["v1", "requests", kind]) => submit_single_input(context, request, kind),
-        (Method::Get, ["v1", "jobs", id]) => {
+        (&Method::POST, ["v1", "jobs"]) => submit_job(context, request, None),
+        (&Method::PUT, ["v1", "jobs", id]) => submit_job(context, request, Some(id)),
+        (&Method::POST, ["v1", "requests", kind]) => submit_single_input(context, request, kind),
+        (&Method::GET, ["v1", "jobs", id]) => {
             ask_about_job(context, request, id, |waiter, id| Event::Get {
                 waiter,
                 id,
                 forwarded: false,
             });
         }
-        (Method::Delete, ["v1", "jobs", id]) => {
+        (&Method::DELETE, ["v1", "jobs", id]) => {
             ask_about_job(context, request, id, |waiter, id| Event::Cancel {
                 waiter,
                 id,
                 forwarded: false,
             });
         }
-        (Method::Get, ["v1", "jobs", id, "trace"]) => {
+        (&Method::GET, ["v1", "jobs", id, "trace"]) => {
             ask_about_job(context, request, id, |waiter, id| Event::Trace {
                 waiter,
                 id,
@@ -121,7 +113,7 @@
             "not ready: no lease, no catalogue, or leaving\n",
         )
     };
-    http::send_response(request, reply);
+    request.answer(reply);
 }
 
 fn refuse_unknown_path(context: &Context, request: Request, path: &str) {
@@ -134,10 +126,7 @@
 }
 
 fn send_refusal(context: &Context, request: Request, refusal: &Refusal) {
-    http::send_response(
-        request,
-        responder::refusal_reply(refusal, None, &context.metrics),
-    );
+    request.answer(responder::refusal_reply(refusal, None, &context.metrics));
 }
 
 fn ask_about_job<F>(context: &Context, request: Request, id: &str, event: F)
@@ -159,7 +148,7 @@
     // A job whose id the caller chose may have run after an earlier request, so only the job's
     // coordinator can tell that it has not.
     let ran = if id.is_some() { Ran::Unknown } else { Ran::No };
-    let spec = read_body(context, &mut request, ran).and_then(|body| read_spec(&body, id, ran));
+    let spec = take_body(context, &mut request, ran).and_then(|body| read_spec(&body, id, ran));
     match spec {
         Ok(spec) => {
             let origin = if id.is_some() {
@@ -180,16 +169,16 @@
 }
 
 fn submit_single_input(context: &Context, mut request: Request, kind: &str) {
-    let idempotent = request.headers().iter().any(|header| {
-        header.field.equiv("Ibisspool-Idempotent")
-            && header.value.as_str().eq_ignore_ascii_case("true")
-    });
-    match read_body(context, &mut request, Ran::No) {
+    let idempotent = request
+        .header("Ibisspool-Idempotent")
+        .is_some_and(|value| value.eq_ignore_ascii_case("true"));
+    match take_body(context, &mut request, Ran::No) {
         Ok(body) => {
             let spec = Spec {
                 id: placeholder_id(),
                 kind: kind.to_owned(),
-                inputs: vec![Bytes::from(body)],
+                // The job outlives the request, whose body counts against the limit of the listener.
+                inputs: vec![Bytes::copy_from_slice(&body)],
                 timeout: DEFAULT_TIMEOUT,
                 idempotent,
             };
@@ -225,8 +214,10 @@
     let _decider_ended = context.events.send(event(waiter));
 }
 
-fn read_body(context: &Context, request: &mut Request, ran: Ran) -> Result<Vec<u8>, Refusal> {
-    http::read_body(request, context.max_body_bytes).map_err(|error| error.refusal(ran))
+fn take_body(context: &Context, request: &mut Request, ran: Ran) -> Result<Bytes, Refusal> {
+    request
+        .take_body(context.max_body_bytes)
+        .map_err(|error| http::request_refusal(error, ran))
 }
 
 fn read_spec(body: &[u8], id: Option<&str>, ran: Ran) -> Result<Spec, Refusal> {
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -16,10 +16,10 @@
     ServiceState,
 };
 use ibisspool_core::refusal::{Ran, Reason, Refusal};
-use ibisspool_kernel::http::{self, Reply};
+use ibisspool_kernel::http::{self, Method, Request};
 use ibisspool_kernel::part::{Kernel, PartName};
+use ibisspool_kernel::web::Reply;
 use serde_json::json;
-use tiny_http::{Method, Request};
 
 use crate::metrics::Metrics;
 use crate::responder;
@@ -35,7 +35,7 @@
 const MAX_WAITING_REQUESTS: usize = 512;
 
 /// Largest accepted catalogue file.
-const MAX_FILE_BYTES: usize = 4 << 20;
+pub const MAX_FILE_BYTES: usize = 4 << 20;
 
 /// Longest accepted id of a change.
 const MAX_CHANGE_ID_CHARS: usize = 64;
@@ -71,7 +71,7 @@
         let thread_metrics = metrics.clone();
         kernel.spawn(PartName::Operator, move || {
             while let Ok(Outgoing { request, answer }) = mailbox.recv() {
-                http::send_response(request, encode_answer(&answer, &thread_metrics));
+                request.answer(encode_answer(&answer, &thread_metrics));
             }
         });
         Ok(Self {
@@ -105,8 +105,7 @@
 
     /// Serves a request to one of the operators' paths; returns any other request.
     pub fn handle(&self, mut request: Request) -> Option<Request> {
-        let url = request.url().to_owned();
-        let (path, query) = url.split_once('?').unwrap_or((&url, ""));
+        let (path, query) = (request.path().to_owned(), request.query().to_owned());
         let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
         let [
             "v1",
@@ -117,7 +116,7 @@
             return Some(request);
         };
         let question = if self.is_authorized(&request) {
-            read_question(&mut request, &parts, query)
+            read_question(&mut request, &parts, &query)
         } else {
             Err(Refusal::new(
                 Reason::Unauthorized,
@@ -129,8 +128,7 @@
         match question.and_then(|question| self.check_capacity().map(|()| question)) {
             Ok(question) => self.ask(request, question),
             Err(refusal) => {
-                let reply = responder::refusal_reply(&refusal, None, &self.metrics);
-                http::send_response(request, reply);
+                request.answer(responder::refusal_reply(&refusal, None, &self.metrics));
             }
         }
         None
@@ -156,10 +154,9 @@
         let Some(token) = &self.token else {
             return true;
         };
-        let mut headers = request.headers().iter();
-        let presented = headers.find(|header| header.field.equiv("Authorization"));
-        presented
-            .and_then(|header| header.value.as_str().strip_prefix("Bearer "))
+        request
+            .header("Authorization")
+            .and_then(|value| value.strip_prefix("Bearer "))
             .is_some_and(|text| token.matches(text))
     }
 }
@@ -171,22 +168,22 @@
 ) -> Result<OperatorRequest, Refusal> {
     let method = request.method().clone();
     match (&method, parts) {
-        (Method::Get, ["v1", "status"]) => Ok(OperatorRequest::Status),
-        (Method::Get, ["v1", "catalogue"]) => Ok(OperatorRequest::Catalogue),
-        (Method::Put, ["v1", "catalogue"]) => {
+        (&Method::GET, ["v1", "status"]) => Ok(OperatorRequest::Status),
+        (&Method::GET, ["v1", "catalogue"]) => Ok(OperatorRequest::Catalogue),
+        (&Method::PUT, ["v1", "catalogue"]) => {
             let text = read_text(request)?;
             let file = File::parse(&text).map_err(|fault| malformed(fault.to_string()))?;
             read_proposal(query, Edit::Put(file))
         }
-        (Method::Delete, ["v1", "catalogue", kind]) => {
+        (&Method::DELETE, ["v1", "catalogue", kind]) => {
             read_proposal(query, Edit::DeleteKind(read_name(kind)?))
         }
-        (Method::Put, ["v1", "data-centres", name]) => {
+        (&Method::PUT, ["v1", "data-centres", name]) => {
             let name = read_name(name)?;
             let state = read_state(request)?;
             read_proposal(query, Edit::DataCentre { name, state })
         }
-        (Method::Put, ["v1", "backends", name]) => {
+        (&Method::PUT, ["v1", "backends", name]) => {
             let name = read_name(name)?;
             let state = read_state(request)?;
             read_proposal(query, Edit::Backend { name, state })
@@ -206,8 +203,10 @@
 }
 
 fn read_text(request: &mut Request) -> Result<String, Refusal> {
-    let body = http::read_body(request, MAX_FILE_BYTES).map_err(|error| error.refusal(Ran::No))?;
-    String::from_utf8(body)
+    let body = request
+        .take_body(MAX_FILE_BYTES)
+        .map_err(|error| http::request_refusal(error, Ran::No))?;
+    String::from_utf8(body.to_vec())
         .map_err(|error| malformed(format!("the body is not UTF-8: {error}; save it as UTF-8")))
 }
 
--- a/crates/entry/src/responder.rs
+++ b/crates/entry/src/responder.rs
@@ -1,4 +1,4 @@
-//! Recipients that wait for an answer of the decider, and the threads that write HTTP responses.
+//! Recipients that wait for an answer of the decider, and the threads that encode HTTP responses.
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -11,8 +11,9 @@
 use ibisspool_core::entry::{Findings, Step, WaiterId};
 use ibisspool_core::job::{Answer, Id};
 use ibisspool_core::refusal::{Reason, Refusal};
-use ibisspool_kernel::http::{self, Reply};
+use ibisspool_kernel::http::{self, LOCATION, Request};
 use ibisspool_kernel::part::{Kernel, PartName};
+use ibisspool_kernel::web::Reply;
 use ibisspool_wire::decode;
 use serde_json::json;
 use serde_json::value::RawValue;
@@ -20,8 +21,8 @@
 
 use crate::metrics::Metrics;
 
-/// Threads that write responses. A caller that reads slowly occupies one of them.
-const RESPONDER_THREADS: usize = 32;
+/// Threads that encode responses. The thread of the connections writes them.
+const RESPONDER_THREADS: usize = 4;
 
 /// Format of the response to a caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,7 +38,7 @@
 enum Recipient {
     /// A caller, whose open HTTP request takes the answer.
     Caller {
-        request: tiny_http::Request,
+        request: Request,
         format: AnswerFormat,
         received_at: Instant,
     },
@@ -52,7 +53,7 @@
 /// An answer that is to be written to a caller.
 #[derive(Debug)]
 pub struct Outgoing {
-    request: tiny_http::Request,
+    request: Request,
     format: AnswerFormat,
     received_at: Instant,
     id: Id,
@@ -113,7 +114,7 @@
     }
 
     /// Adds a caller and keeps its open HTTP request until the answer.
-    pub fn add_caller(&self, request: tiny_http::Request, format: AnswerFormat) -> WaiterId {
+    pub fn add_caller(&self, request: Request, format: AnswerFormat) -> WaiterId {
         self.add(Recipient::Caller {
             request,
             format,
@@ -209,17 +210,14 @@
     metrics
         .response_seconds
         .observe(received_at.elapsed().as_secs_f64());
-    let mut response = match &reply {
+    let response = match &reply {
         decode::Reply::Answer(Answer::Complete(outputs)) => complete_reply(&id, outputs, format),
         decode::Reply::Answer(Answer::Refused(refusal)) => {
             refusal_reply(refusal, Some(&id), metrics)
         }
         decode::Reply::Trace(steps) => trace_reply(&id, steps),
     };
-    if let Some(location) = http::header("Location", &format!("/v1/jobs/{id}")) {
-        response.add_header(location);
-    }
-    http::send_response(request, response);
+    request.answer(response.with_header(LOCATION, &format!("/v1/jobs/{id}")));
 }
 
 /// Creates the problem response (RFC 9457) of a refusal and counts the refusal.
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -11,6 +11,7 @@
 use ibisspool_core::control::Member;
 use ibisspool_core::entry::{Entry, Event};
 use ibisspool_kernel::clock::Clock;
+use ibisspool_kernel::connection_limits::ConnectionLimiters;
 use ibisspool_kernel::part::{Kernel, PartName};
 use ibisspool_kernel::{http, signal};
 use tokio::runtime::{Builder, Runtime};
@@ -18,7 +19,7 @@
 use crate::callers::{self, Context};
 use crate::decider::Decider;
 use crate::metrics::Metrics;
-use crate::operator::OperatorInterface;
+use crate::operator::{MAX_FILE_BYTES, OperatorInterface};
 use crate::peers::Peers;
 use crate::responder::Waiters;
 use crate::settings::Settings;
@@ -106,6 +107,7 @@
         clock,
         incarnation,
     );
+    let limiters = ConnectionLimiters::new(&settings.connection_limits, metrics.registry());
     let peer_address = peers.serve(settings.peer_listen)?;
     let operators = OperatorInterface::start(&kernel, settings.operator_token.clone(), &metrics)?;
     store::start(&kernel, &settings.table_service_url, clock, &metrics)?;
@@ -137,9 +139,13 @@
         max_body_bytes: settings.max_body_bytes,
         max_waiters: settings.bounds.max_waiters,
     };
-    let address = http::serve(&kernel, settings.listen, move |request| {
-        callers::handle(&context, request);
-    })?;
+    let address = http::serve(
+        &kernel,
+        settings.listen,
+        limiters.requests,
+        settings.max_body_bytes.max(MAX_FILE_BYTES),
+        move |request| callers::handle(&context, request),
+    )?;
     Ok(Running {
         address,
         peer_address,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -4,6 +4,7 @@
 
 use clap::{Arg, ArgMatches, Command};
 use ibisspool_core::settings::{Bounds, Timing};
+use ibisspool_kernel::connection_limits;
 use ibisspool_kernel::log::Format;
 use ibisspool_kernel::settings::{
     Error, read_name, read_setting, read_setting_in_range, setting_flag,
@@ -13,6 +14,9 @@
 
 const MILLIS_PER_DAY: u64 = 86_400_000;
 
+/// Largest body of one HTTP request: a job of some hundred tasks with inputs of tens of kilobytes.
+const DEFAULT_MAX_BODY_BYTES: usize = 32 << 20;
+
 /// Checked settings of an entry.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -38,6 +42,8 @@
     pub timing: Timing,
     /// Limits of the tables in memory.
     pub bounds: Bounds,
+    /// Limits of memory and descriptors for the connections that the entry accepts.
+    pub connection_limits: connection_limits::Settings,
 }
 
 impl Settings {
@@ -53,10 +59,11 @@
             table_service_url: platform.to_owned(),
             log_format: Format::Text,
             log_level: "info".to_owned(),
-            max_body_bytes: 32 << 20,
+            max_body_bytes: DEFAULT_MAX_BODY_BYTES,
             operator_token: None,
             timing: Timing::default(),
             bounds: Bounds::default(),
+            connection_limits: connection_limits::Settings::durable(DEFAULT_MAX_BODY_BYTES),
         }
     }
 
@@ -64,7 +71,7 @@
     pub fn add_flags(command: Command) -> Command {
         let defaults = Self::new("", "", "");
         let number = |value: usize| value.to_string();
-        command
+        connection_limits::Settings::add_flags(command)
             .arg(
                 setting_flag("name", "NAME", "Name of this entry, unique in the region")
                     .required(true),
@@ -195,6 +202,8 @@
         settings.bounds.max_queued_tasks = count("max-queued-tasks")?;
         settings.bounds.max_tasks_per_job = count("max-tasks-per-job")?;
         settings.bounds.max_input_bytes = count("max-input-bytes")?;
+        settings.connection_limits =
+            connection_limits::Settings::read_durable(matches, settings.max_body_bytes)?;
         Ok(settings)
     }
 }
--- a/crates/kernel/src/web/server.rs
+++ b/crates/kernel/src/web/server.rs
@@ -1,5 +1,6 @@
 //! Serves HTTP/1.1 connections on the calling thread's event loop.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
@@ -13,11 +14,13 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_local;
-use tokio::time::MissedTickBehavior;
+use tokio::time::{MissedTickBehavior, timeout};
 
+use super::stream::Stream;
 use crate::connection_limiter::{self, ConnectionLimiter, ConnectionPermit};
 
 /// Smallest buffer that hyper allows for the head of a request (request line and headers).
@@ -33,8 +36,8 @@
 /// Smallest capacity of the buffer of a body that arrives in several pieces.
 const MIN_BODY_CAPACITY: usize = 4 << 10;
 
-/// Value of `Retry-After` in the refusal of a request while bodies use the whole budget, in seconds.
-const BUDGET_RETRY_AFTER: u64 = 1;
+/// Value of `Retry-After` in the refusal of a request while bodies use the whole budget.
+const BUDGET_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Limits for the requests of one connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,6 +51,83 @@
     pub head_timeout: Duration,
 }
 
+/// Why a request is refused before its handler is called. Nothing of it was run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum RequestError {
+    /// The head is not HTTP/1.1.
+    #[error("the request is not HTTP/1.1; check its first line and headers")]
+    Malformed,
+    /// The headers are too many, or larger than this number of bytes.
+    #[error("too many headers, or more than {0} bytes of them; send fewer")]
+    HeadTooLarge(usize),
+    /// The body is larger than this number of bytes.
+    #[error("the body is over {0} bytes; send less at once")]
+    BodyTooLarge(usize),
+    /// The connection ended before the whole body arrived.
+    #[error("the body is incomplete; send as many bytes as Content-Length names")]
+    Truncated,
+    /// The whole body did not arrive within this time.
+    #[error("the body did not arrive within {} s; send it faster", .0.as_secs())]
+    TooSlow(Duration),
+    /// The requests of other callers take all the room. The caller should retry after this time.
+    #[error("too many requests at the same time; send it again after Retry-After")]
+    NoRoom(Duration),
+}
+
+impl RequestError {
+    /// Returns the status by which the request is refused.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::Malformed | Self::Truncated => StatusCode::BAD_REQUEST,
+            Self::HeadTooLarge(_) => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::BodyTooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::TooSlow(_) => StatusCode::REQUEST_TIMEOUT,
+            Self::NoRoom(_) => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// Returns the refusal without a body, after which the connection is closed.
+    fn bare_reply(self) -> Reply {
+        let retry_after = match self {
+            Self::NoRoom(delay) => Some(delay.as_secs()),
+            _ => None,
+        };
+        Reply {
+            retry_after,
+            ..Reply::new(self.status())
+        }
+    }
+}
+
+/// What a server does beyond the limits of its connections. The default bounds no time and refuses
+/// requests without a body.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Options {
+    /// Longest time for the body of a request.
+    pub body_timeout: Option<Duration>,
+    /// Longest time for a write of which the caller reads nothing.
+    pub write_timeout: Option<Duration>,
+    /// Creates the answer to a request that is refused, by its method if that is known. The
+    /// connection is closed after it.
+    pub refuse: Option<fn(RequestError, Option<&Method>) -> Reply>,
+    /// Whether a caller that has closed its sending side still gets its answer. Otherwise the caller
+    /// counts as gone.
+    pub answers_half_closed: bool,
+}
+
+impl Options {
+    /// Returns the answer to a request that is refused.
+    pub(super) fn refusal(&self, error: RequestError, method: Option<&Method>) -> Reply {
+        let reply = self
+            .refuse
+            .map_or_else(|| error.bare_reply(), |refuse| refuse(error, method));
+        Reply {
+            close: true,
+            ..reply
+        }
+    }
+}
+
 /// An HTTP request whose whole body has arrived.
 #[derive(Debug)]
 pub struct Call {
@@ -84,8 +164,10 @@
 pub struct Reply {
     /// HTTP status.
     pub status: StatusCode,
-    /// Body. If it is not empty, the content type is JSON.
+    /// Body. If it is not empty, the content type is JSON unless `headers` names another one.
     pub body: Bytes,
+    /// Further headers.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
     /// Value of the `Retry-After` header, in seconds.
     pub retry_after: Option<u64>,
     /// Whether the server closes the connection after this response.
@@ -98,6 +180,7 @@
         Self {
             status,
             body: Bytes::new(),
+            headers: Vec::new(),
             retry_after: None,
             close: false,
         }
@@ -113,11 +196,25 @@
         self
     }
 
+    /// Adds a header. A value that is not visible ASCII is left out.
+    #[must_use]
+    pub fn with_header(mut self, name: HeaderName, value: &str) -> Self {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            self.headers.push((name, value));
+        }
+        self
+    }
+
     fn into_response(self) -> http::Response<Full<Bytes>> {
-        let is_json = !self.body.is_empty();
+        let is_json = !self.body.is_empty()
+            && !self
+                .headers
+                .iter()
+                .any(|(name, _value)| *name == CONTENT_TYPE);
         let mut response = http::Response::new(Full::new(self.body));
         *response.status_mut() = self.status;
         let fields = response.headers_mut();
+        fields.extend(self.headers);
         let mut set = |name: HeaderName, value: HeaderValue| fields.insert(name, value);
         if is_json {
             set(CONTENT_TYPE, HeaderValue::from_static("application/json"));
@@ -130,6 +227,23 @@
         }
         response
     }
+
+    /// Returns the response as it is sent, for an answer that hyper does not send.
+    pub(super) fn encode(self) -> Bytes {
+        let length = self.body.len();
+        let (head, body) = self.into_response().into_parts();
+        let mut bytes =
+            format!("HTTP/1.1 {}\r\ncontent-length: {length}\r\n", head.status).into_bytes();
+        for (name, value) in &head.headers {
+            bytes.extend_from_slice(name.as_str().as_bytes());
+            bytes.extend_from_slice(b": ");
+            bytes.extend_from_slice(value.as_bytes());
+            bytes.extend_from_slice(b"\r\n");
+        }
+        bytes.extend_from_slice(b"\r\n");
+        bytes.extend_from_slice(body.into_inner().as_deref().unwrap_or_default());
+        Bytes::from(bytes)
+    }
 }
 
 /// Receiving side of a shutdown: a server and each of its connections hold a clone and learn from
@@ -234,11 +348,33 @@
     listener: TcpListener,
     limits: L,
     handle: H,
-    mut shutdown: ShutdownSignal,
+    shutdown: ShutdownSignal,
 ) where
     L: Fn() -> Limits,
     H: Fn(Call) -> F + 'static,
     F: Future<Output = Reply> + 'static,
+{
+    let options = Options::default();
+    let answer = move |call| {
+        let reply = handle(call);
+        async move { Some(reply.await) }
+    };
+    serve_with_options(options, limiter, listener, limits, answer, shutdown).await;
+}
+
+/// Does the same as [`serve_until_shutdown`] with other options than the default. If there is no
+/// reply to a call, its connection is closed without a response.
+pub async fn serve_with_options<L, H, F>(
+    options: Options,
+    limiter: ConnectionLimiter,
+    listener: TcpListener,
+    limits: L,
+    handle: H,
+    mut shutdown: ShutdownSignal,
+) where
+    L: Fn() -> Limits,
+    H: Fn(Call) -> F + 'static,
+    F: Future<Output = Option<Reply>> + 'static,
 {
     let handle = Rc::new(handle);
     let mut slow_body_ticks = tokio::time::interval(SLOW_BODY_INTERVAL);
@@ -256,15 +392,13 @@
         match accepted {
             Ok((stream, from)) => {
                 if let Some((permit, must_close)) = limiter.admit(from.ip()) {
-                    let connection = serve_connection(
-                        stream,
-                        limits(),
-                        Rc::clone(&handle),
+                    let connection = Connection {
+                        options,
+                        limits: limits(),
                         permit,
                         must_close,
-                        shutdown.clone(),
-                    );
-                    spawn_local(connection);
+                    };
+                    spawn_local(connection.serve(stream, Rc::clone(&handle), shutdown.clone()));
                 }
             }
             Err(error) => {
@@ -275,53 +409,77 @@
     }
 }
 
-async fn serve_connection<H, F>(
-    stream: TcpStream,
+/// A handler gave no reply, so that the connection is closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("the handler gave no reply")]
+struct NoReply;
+
+/// A connection that a server has admitted.
+struct Connection {
+    options: Options,
     limits: Limits,
-    handle: Rc<H>,
     permit: ConnectionPermit,
     must_close: oneshot::Receiver<()>,
-    mut shutdown: ShutdownSignal,
-) where
-    H: Fn(Call) -> F + 'static,
-    F: Future<Output = Reply> + 'static,
-{
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("http: Cannot set TCP_NODELAY. error={error}");
-    }
-    let permit = Rc::new(permit);
-    let answer = move |request: http::Request<Incoming>| {
-        let (handle, permit) = (Rc::clone(&handle), Rc::clone(&permit));
-        async move {
-            let reply = match read_request(request, limits, &permit).await {
-                Ok(call) => {
-                    let reply = handle(call).await;
-                    permit.end_answer();
-                    reply
-                }
-                Err(refusal) => refusal,
-            };
-            Ok::<_, Infallible>(reply.into_response())
+}
+
+impl Connection {
+    async fn serve<H, F>(self, stream: TcpStream, handle: Rc<H>, mut shutdown: ShutdownSignal)
+    where
+        H: Fn(Call) -> F + 'static,
+        F: Future<Output = Option<Reply>> + 'static,
+    {
+        let Self {
+            options,
+            limits,
+            permit,
+            must_close,
+        } = self;
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("http: Cannot set TCP_NODELAY. error={error}");
         }
-    };
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.head_timeout)
-        .max_buf_size(limits.head_bytes.max(MIN_HEAD_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service_fn(answer));
-    let mut connection = pin!(connection);
-    let served = tokio::select! {
-        biased;
-        // The limiter closes a connection only while no request of it is whole.
-        Ok(()) = must_close => return,
-        served = connection.as_mut() => served,
-        () = shutdown.wait_for_shutdown() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+        let permit = Rc::new(permit);
+        let was_refused = Rc::new(Cell::new(false));
+        let max_head_bytes = limits.head_bytes.max(MIN_HEAD_BUFFER_BYTES);
+        let stream = Stream::new(stream, options, limits, Rc::clone(&was_refused));
+        let answer = move |request: http::Request<Incoming>| {
+            let (handle, permit) = (Rc::clone(&handle), Rc::clone(&permit));
+            let was_refused = Rc::clone(&was_refused);
+            async move {
+                let method = request.method().clone();
+                let reply = match read_request(request, limits, options, &permit).await {
+                    Ok(call) => {
+                        let reply = handle(call).await;
+                        permit.end_answer();
+                        reply.ok_or(NoReply)?
+                    }
+                    Err(error) => {
+                        was_refused.set(true);
+                        options.refusal(error, Some(&method))
+                    }
+                };
+                Ok::<_, NoReply>(reply.into_response())
+            }
+        };
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .half_close(options.answers_half_closed)
+            .header_read_timeout(limits.head_timeout)
+            .max_buf_size(max_head_bytes)
+            .serve_connection(TokioIo::new(stream), service_fn(answer));
+        let mut connection = pin!(connection);
+        let served = tokio::select! {
+            biased;
+            // The limiter closes a connection only while no request of it is whole.
+            Ok(()) = must_close => return,
+            served = connection.as_mut() => served,
+            () = shutdown.wait_for_shutdown() => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        if let Err(error) = served {
+            log::debug!("http: A connection ended. error={error}");
         }
-    };
-    if let Err(error) = served {
-        log::debug!("http: A connection ended. error={error}");
     }
 }
 
@@ -339,13 +497,13 @@
 /// Reads a request to its end.
 ///
 /// # Errors
-/// Fails with the answer to a request that is not run: it is not whole, above the limits, or there
-/// is no room for its body.
+/// Fails if the request is not whole, above the limits, or there is no room for its body.
 async fn read_request(
     request: http::Request<Incoming>,
     limits: Limits,
+    options: Options,
     permit: &ConnectionPermit,
-) -> Result<Call, Reply> {
+) -> Result<Call, RequestError> {
     let (head, body) = request.into_parts();
     let head_bytes: usize = head
         .headers
@@ -353,16 +511,22 @@
         .map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len())
         .sum();
     if head_bytes > limits.head_bytes {
-        return Err(refusal(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
+        return Err(RequestError::HeadTooLarge(limits.head_bytes));
     }
     let body = if body.is_end_stream() {
         Vec::new()
     } else {
-        read_body(body, limits.body_bytes, permit).await?
+        let body = read_body(body, limits.body_bytes, permit);
+        match options.body_timeout {
+            Some(time) => timeout(time, body)
+                .await
+                .map_err(|_elapsed| RequestError::TooSlow(time))??,
+            None => body.await?,
+        }
     };
     let body = permit
         .begin_answer(body)
-        .map_err(|_refused| budget_refusal())?;
+        .map_err(|_refused| RequestError::NoRoom(BUDGET_RETRY_AFTER))?;
     Ok(Call {
         method: head.method,
         uri: head.uri,
@@ -377,26 +541,27 @@
     mut body: Incoming,
     max_bytes: usize,
     permit: &ConnectionPermit,
-) -> Result<Vec<u8>, Reply> {
-    permit.begin_body().map_err(|_refused| budget_refusal())?;
+) -> Result<Vec<u8>, RequestError> {
+    let no_room = |_refused| RequestError::NoRoom(BUDGET_RETRY_AFTER);
+    permit.begin_body().map_err(no_room)?;
     // The upper bound is the declared length, if there is one.
     let declared = body.size_hint().upper();
     if declared.is_some_and(|bytes| bytes > max_bytes as u64) {
-        return Err(refusal(StatusCode::PAYLOAD_TOO_LARGE));
+        return Err(RequestError::BodyTooLarge(max_bytes));
     }
     let most = declared.map_or(max_bytes, |bytes| bytes as usize);
     let mut buffer = Vec::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| {
             log::debug!("http: The connection ended before the whole body arrived. error={error}");
-            refusal(StatusCode::BAD_REQUEST)
+            RequestError::Truncated
         })?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
         let length = buffer.len() + data.len();
         if length > max_bytes {
-            return Err(refusal(StatusCode::PAYLOAD_TOO_LARGE));
+            return Err(RequestError::BodyTooLarge(max_bytes));
         }
         let capacity = if length <= buffer.capacity() {
             buffer.capacity()
@@ -408,27 +573,9 @@
                 .max(MIN_BODY_CAPACITY)
                 .min(most.max(length))
         };
-        permit
-            .receive(data.len(), capacity)
-            .map_err(|_refused| budget_refusal())?;
+        permit.receive(data.len(), capacity).map_err(no_room)?;
         buffer.reserve_exact(capacity - buffer.len());
         buffer.extend_from_slice(&data);
     }
     Ok(buffer)
 }
-
-/// Returns the answer to a request that was not run, after which the connection is closed.
-fn refusal(status: StatusCode) -> Reply {
-    Reply {
-        close: true,
-        ..Reply::new(status)
-    }
-}
-
-/// Returns the refusal of a request that was not run because bodies use the whole budget.
-fn budget_refusal() -> Reply {
-    Reply {
-        retry_after: Some(BUDGET_RETRY_AFTER),
-        ..refusal(StatusCode::SERVICE_UNAVAILABLE)
-    }
-}
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -12,10 +12,12 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use anyhow::Result;
-use ibisspool_kernel::http;
+use bytes::Bytes;
+use ibisspool_kernel::connection_limiter::ConnectionLimiter;
+use ibisspool_kernel::http::{self, HeaderName, Method, Request};
+use ibisspool_kernel::part::Kernel;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use tiny_http::{Method, Request, Server};
 
 /// Largest request body that is read.
 const MAX_INPUT_BYTES: usize = 1 << 20;
@@ -26,9 +28,6 @@
 /// Timeout of a request to the agent.
 const AGENT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Threads that receive requests; each task then runs in a thread of its own.
-const REQUEST_THREADS: usize = 4;
-
 /// Time between checks whether a hanging task may continue, a fault changed or all tasks have
 /// ended.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -105,23 +104,21 @@
     /// # Errors
     /// Fails if the server cannot listen on the address.
     pub fn start(settings: &Settings) -> Result<Self> {
-        let server = Server::http(settings.listen).map_err(|error| anyhow::anyhow!("{error}"))?;
-        let server = Arc::new(server);
-        let address = server.server_addr().to_ip().unwrap_or(settings.listen);
         let state = Arc::new(Mutex::new(State {
             speed: settings.speed,
             slots: settings.slots,
             ..State::default()
         }));
-        for _number in 0..REQUEST_THREADS {
-            let (server, state) = (Arc::clone(&server), Arc::clone(&state));
-            let default_run_ms = settings.default_run_ms;
-            thread::spawn(move || {
-                while let Ok(request) = server.recv() {
-                    handle_request(&state, default_run_ms, request);
-                }
-            });
-        }
+        let (shared, default_run_ms) = (Arc::clone(&state), settings.default_run_ms);
+        let handle = move |request| handle_request(&shared, default_run_ms, request);
+        let limiter = ConnectionLimiter::unlimited();
+        let address = http::serve(
+            &Kernel::new(),
+            settings.listen,
+            limiter,
+            MAX_INPUT_BYTES,
+            handle,
+        )?;
         let backend = Self { state, address };
         let announcing = backend.clone();
         let settings = settings.clone();
@@ -215,16 +212,16 @@
 }
 
 fn handle_request(state: &Arc<Mutex<State>>, default_run_ms: f64, mut request: Request) {
-    let path = request.url().to_owned();
+    let path = request.path().to_owned();
     let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
     let method = request.method().clone();
-    let body = http::read_body(&mut request, MAX_INPUT_BYTES).unwrap_or_default();
+    let body = request.take_body(MAX_INPUT_BYTES).unwrap_or_default();
     match (&method, parts.as_slice()) {
-        (Method::Get, ["starts"]) => {
+        (&Method::GET, ["starts"]) => {
             let reply = http::json_response(200, &lock(state).starts);
-            http::send_response(request, reply);
+            request.answer(reply);
         }
-        (Method::Put, ["faults"]) => {
+        (&Method::PUT, ["faults"]) => {
             let reply = match serde_json::from_slice::<Faults>(&body) {
                 Ok(faults) => {
                     apply_faults(&mut lock(state), faults);
@@ -236,9 +233,9 @@
                     format!("the body is not a JSON object of faults: {error}\n"),
                 ),
             };
-            http::send_response(request, reply);
+            request.answer(reply);
         }
-        (Method::Post, ["tasks", job, index]) => {
+        (&Method::POST, ["tasks", job, index]) => {
             let (job, index) = ((*job).to_owned(), (*index).to_owned());
             let state = Arc::clone(state);
             lock(&state).running += 1;
@@ -247,14 +244,11 @@
                 lock(&state).running -= 1;
             });
         }
-        _ => http::send_response(
-            request,
-            http::text_response(
-                404,
-                "text/plain",
-                "no such path; use /tasks/{job}/{index}, /starts or /faults\n",
-            ),
-        ),
+        _ => request.answer(http::text_response(
+            404,
+            "text/plain",
+            "no such path; use /tasks/{job}/{index}, /starts or /faults\n",
+        )),
     }
 }
 
@@ -268,7 +262,7 @@
     default_run_ms: f64,
     job: &str,
     index: &str,
-    body: Vec<u8>,
+    body: Bytes,
     request: Request,
 ) {
     let started_at = Instant::now();
@@ -294,14 +288,9 @@
         thread::sleep(POLL_INTERVAL);
     }
     let status = if faults.fail { 500 } else { 200 };
-    let mut reply = http::text_response(status, "application/json", body);
     let echoed_job = if faults.cross { "another" } else { job };
-    let headers = [("Ibisspool-Job", echoed_job), ("Ibisspool-Index", index)];
-    for header in headers
-        .iter()
-        .filter_map(|(name, value)| http::header(name, value))
-    {
-        reply.add_header(header);
-    }
-    http::send_response(request, reply);
+    let reply = http::text_response(status, "application/json", body)
+        .with_header(HeaderName::from_static("ibisspool-job"), echoed_job)
+        .with_header(HeaderName::from_static("ibisspool-index"), index);
+    request.answer(reply);
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -14,11 +14,12 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use ibisspool_kernel::http::{self, Reply};
+use ibisspool_kernel::connection_limiter::ConnectionLimiter;
+use ibisspool_kernel::http::{self, Method, Request};
 use ibisspool_kernel::part::Kernel;
+use ibisspool_kernel::web::Reply;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use tiny_http::{Method, Request};
 
 /// Largest request body that is read.
 const MAX_ROW_BYTES: usize = 16 << 20;
@@ -65,9 +66,9 @@
     pub fn start(listen: SocketAddr) -> Result<Self> {
         let state = Arc::<Mutex<State>>::default();
         let shared = Arc::clone(&state);
-        let address = http::serve(&Kernel::new(), listen, move |request| {
-            handle_request(&shared, request);
-        })?;
+        let limiter = ConnectionLimiter::unlimited();
+        let handle = move |request| handle_request(&shared, request);
+        let address = http::serve(&Kernel::new(), listen, limiter, MAX_ROW_BYTES, handle)?;
         Ok(Self { state, address })
     }
 
@@ -104,49 +105,51 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn handle_request(state: &Mutex<State>, mut request: Request) {
-    let path = request.url().trim_start_matches('/').to_owned();
-    let method = request.method().clone();
-    let body = http::read_body(&mut request, MAX_ROW_BYTES).unwrap_or_default();
-    if path == "faults" && method == Method::Put {
-        return http::send_response(request, set_faults(state, &body));
+fn handle_request(state: &Arc<Mutex<State>>, mut request: Request) {
+    let body = request.take_body(MAX_ROW_BYTES).unwrap_or_default();
+    if request.path() == "/faults" && request.method() == Method::PUT {
+        return request.answer(set_faults(state, &body));
     }
-    let faults = lock(state).faults;
-    thread::sleep(Duration::from_millis(faults.slow_ms));
-    if faults.down {
-        return http::send_response(
-            request,
-            http::text_response(
-                503,
-                "text/plain",
-                "the table service is down by an injected fault\n",
-            ),
-        );
+    let delay = Duration::from_millis(lock(state).faults.slow_ms);
+    if delay.is_zero() {
+        return use_table(state, request, &body);
     }
-    let Some(key) = path.strip_prefix("tables/ibisspool/") else {
-        return http::send_response(
-            request,
-            http::text_response(
-                404,
-                "text/plain",
-                "no such table; the only one is tables/ibisspool\n",
-            ),
-        );
+    let state = Arc::clone(state);
+    thread::spawn(move || {
+        thread::sleep(delay);
+        use_table(&state, request, &body);
+    });
+}
+
+/// Reads or writes a row, unless the service is down.
+fn use_table(state: &Mutex<State>, request: Request, body: &[u8]) {
+    if lock(state).faults.down {
+        return request.answer(http::text_response(
+            503,
+            "text/plain",
+            "the table service is down by an injected fault\n",
+        ));
+    }
+    let Some(key) = request.path().strip_prefix("/tables/ibisspool/") else {
+        return request.answer(http::text_response(
+            404,
+            "text/plain",
+            "no such table; the only one is tables/ibisspool\n",
+        ));
     };
-    match method {
-        Method::Get => http::send_response(request, read_row(state, key)),
-        Method::Put => {
-            let reply = write_row(state, key, &body);
+    let reply = match *request.method() {
+        Method::GET => read_row(state, key),
+        Method::PUT => {
+            let reply = write_row(state, key, body);
             if consume_lost_answer(state) {
-                return drop(request.into_writer());
+                // The connection of a request that is dropped is closed without an answer.
+                return drop(request);
             }
-            http::send_response(request, reply);
+            reply
         }
-        _ => http::send_response(
-            request,
-            http::text_response(405, "text/plain", "GET or PUT only\n"),
-        ),
-    }
+        _ => http::text_response(405, "text/plain", "GET or PUT only\n"),
+    };
+    request.answer(reply);
 }
 
 /// Returns whether the answer of the current write must be dropped, and counts it if so.
