fix(entry): limit the connections of unknown peers at the durable interface

What was seen: 400 idle connections at the address for agents and other entries took all 300 descriptors of an entry; no job was answered beside them or afterwards.

Cause: tonic keeps every connection that the listener accepts.

Known peers are not limited.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod decider;
 pub mod metrics;
 pub mod operator;
+pub mod peer_stream;
 pub mod peers;
 pub mod responder;
 pub mod secret;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -15,6 +15,7 @@
 use ibisspool_core::job::Id;
 use ibisspool_core::time::Now;
 use ibisspool_kernel::clock::Clock;
+use ibisspool_kernel::connection_limiter::ConnectionLimiter;
 use ibisspool_wire::generated as wire;
 use ibisspool_wire::generated::link_server::{Link, LinkServer};
 use ibisspool_wire::generated::peer_client::PeerClient;
@@ -27,6 +28,7 @@
 use tonic::{Request, Response, Status, Streaming};
 
 use crate::metrics::Metrics;
+use crate::peer_stream::{PeerStream, mark_known};
 use crate::responder::Waiters;
 
 /// Time limit for the answer to a heartbeat, and for opening a connection to another entry.
@@ -94,20 +96,21 @@
         self.lapsed_below.store(epoch, Ordering::Relaxed);
     }
 
-    /// Listens for agents and other entries; returns the bound address.
+    /// Listens for agents and other entries; returns the bound address. The limiter counts the
+    /// connections on which nothing was called yet.
     ///
     /// # Errors
     /// Fails if the address cannot be listened on.
-    pub fn serve(&self, address: SocketAddr) -> Result<SocketAddr> {
+    pub fn serve(&self, address: SocketAddr, limiter: ConnectionLimiter) -> Result<SocketAddr> {
         let listener = self
             .runtime
             .block_on(tokio::net::TcpListener::bind(address))
             .with_context(|| format!("cannot listen on {address}; choose a free address"))?;
         let bound_address = listener.local_addr()?;
-        let incoming = TcpListenerStream::new(listener).map(|connection| {
-            connection.inspect(|connection| {
-                let _best_effort = connection.set_nodelay(true);
-            })
+        let incoming = TcpListenerStream::new(listener).filter_map(move |connection| {
+            connection
+                .map(|connection| PeerStream::admit(connection, &limiter))
+                .transpose()
         });
         let link = LinkServer::new(self.clone()).max_decoding_message_size(MAX_MESSAGE_BYTES);
         let peer = PeerServer::new(self.clone()).max_decoding_message_size(MAX_MESSAGE_BYTES);
@@ -257,6 +260,7 @@
         &self,
         request: Request<Streaming<wire::Report>>,
     ) -> Result<Response<Self::AttachStream>, Status> {
+        mark_known(&request);
         let link = self.next_link_id.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = mpsc::unbounded_channel();
         self.streams
@@ -301,6 +305,7 @@
         &self,
         request: Request<wire::Beat>,
     ) -> Result<Response<wire::BeatAnswer>, Status> {
+        mark_known(&request);
         let heartbeat = request.into_inner();
         if heartbeat.incarnation != self.incarnation {
             return Err(Status::failed_precondition("another incarnation was asked"));
@@ -324,6 +329,7 @@
         &self,
         request: Request<wire::Inquiry>,
     ) -> Result<Response<wire::Findings>, Status> {
+        mark_known(&request);
         let inquiry = request.into_inner();
         if inquiry.incarnation != self.incarnation {
             return Err(Status::failed_precondition("another incarnation was asked"));
@@ -345,6 +351,7 @@
     }
 
     async fn ask(&self, request: Request<wire::Question>) -> Result<Response<wire::Reply>, Status> {
+        mark_known(&request);
         let question = decode::question(request.into_inner()).map_err(|error| {
             self.metrics.malformed_messages.inc();
             Status::invalid_argument(error.to_string())
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -108,7 +108,7 @@
         incarnation,
     );
     let limiters = ConnectionLimiters::new(&settings.connection_limits, metrics.registry());
-    let peer_address = peers.serve(settings.peer_listen)?;
+    let peer_address = peers.serve(settings.peer_listen, limiters.peers)?;
     let operators = OperatorInterface::start(&kernel, settings.operator_token.clone(), &metrics)?;
     store::start(&kernel, &settings.table_service_url, clock, &metrics)?;
 
