fix(spool): work for a job is linear in its size

The end of a step searched all tasks for each dependency of each task, each queued task computed the critical path anew, each report copied the whole queue and looked at all tasks for orphans, and a limit of tasks on a server counted all tasks for each candidate.

Change: a `Plan` is made once for each job: dependents by step, what each step still waits for, and the longest chain from each step on, which was computed from the same run times. `Spread` counts the tasks of limited steps by agent. Orphans have a set of their own, dispatch walks the queue only as far as it gets, late jobs are looked at once each, and late tasks at most every 10 ms. The chains of a job keep the run times that were expected when it was admitted; before, each retry and each later step took the latest.

--- a/crates/core/src/spool/entry.rs
+++ b/crates/core/src/spool/entry.rs
@@ -17,14 +17,17 @@
 mod jobs;
 mod neighbours;
 pub mod placement;
+pub mod plan;
 mod policy;
 mod report_rate;
 mod retry;
 pub mod selection;
 pub mod separation;
 mod shed;
+mod spread;
 pub mod startup;
 
+use std::cell::Cell;
 use std::collections::{BTreeSet, HashMap};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
@@ -54,6 +57,8 @@
 use agents::Agent;
 use dispatch::Urgency;
 use interference::Interference;
+use plan::Plan;
+use spread::Spread;
 use startup::Startup;
 
 pub use neighbours::NamedPair;
@@ -164,6 +169,8 @@
     Dispatched {
         connection: ConnectionKey,
         ticket: DispatchId,
+        /// Value of the agent in `Entry::agent_numbers`.
+        agent_number: u32,
     },
     /// The connection to the task's agent was lost. The task may still run there.
     Orphaned(Orphan),
@@ -171,6 +178,17 @@
     Completed,
 }
 
+impl TaskState {
+    /// Returns the number of the agent that has the task or may have it.
+    fn agent_number(&self) -> Option<u32> {
+        match self {
+            Self::Dispatched { agent_number, .. } => Some(*agent_number),
+            Self::Orphaned(orphan) => Some(orphan.agent_number),
+            Self::Blocked | Self::Queued(_) | Self::Completed => None,
+        }
+    }
+}
+
 /// What is known of a task since the connection to its agent was lost.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Orphan {
@@ -221,8 +239,12 @@
     id: Id,
     queue: Queue,
     request: Request,
+    /// Tasks in the order of their steps.
     tasks: Vec<TaskKey>,
     unfinished_tasks: usize,
+    plan: Plan,
+    /// Tasks on each agent, of steps that limit them.
+    spread: Spread,
     submitted_at: Monotonic,
     /// When the job is answered even if tasks are unfinished.
     deadline: Monotonic,
@@ -242,6 +264,12 @@
     jobs: SlotMap<JobKey, Job>,
     tasks: SlotMap<TaskKey, Task>,
     tasks_by_ticket: HashMap<DispatchId, TaskKey>,
+    /// The tasks in the state [`TaskState::Orphaned`].
+    orphans: BTreeSet<TaskKey>,
+    /// When the late tasks were last looked at for those that can't end in useful time.
+    hopeless_reviewed_at: Monotonic,
+    /// See [`Entry::work`].
+    work: Cell<u64>,
     last_ticket: u64,
     agents: SlotMap<ConnectionKey, Agent>,
     /// Number of connections that agents have opened to this entry.
@@ -293,6 +321,9 @@
             jobs: SlotMap::with_key(),
             tasks: SlotMap::with_key(),
             tasks_by_ticket: HashMap::new(),
+            orphans: BTreeSet::new(),
+            hopeless_reviewed_at: Monotonic(0),
+            work: Cell::new(0),
             last_ticket: 0,
             agents: SlotMap::with_key(),
             agent_connections: 0,
@@ -458,6 +489,16 @@
         self.jobs.values().filter(is_undispatched).count()
     }
 
+    /// Returns the work done for jobs so far: how often a step, dependency, task or queue position was
+    /// visited. Unlike time, it does not depend on the machine.
+    pub fn work(&self) -> u64 {
+        self.work.get()
+    }
+
+    fn count_work(&self, visits: usize) {
+        self.work.set(self.work.get() + visits as u64);
+    }
+
     /// Handles expired deadlines, dispatches queued tasks and sends agents what has changed. The
     /// event loop calls this every 20 ms.
     pub fn handle_tick(&mut self, now: Now) {
--- a/crates/core/src/spool/entry/agents.rs
+++ b/crates/core/src/spool/entry/agents.rs
@@ -14,7 +14,7 @@
 use super::estimate::mean_slowdown;
 use super::gossip::take_unsent_members;
 use super::report_rate::ReportRate;
-use super::{Action, ConnectionKey, Entry, Evidence, Orphan, Route, Task, TaskKey, TaskState};
+use super::{Action, ConnectionKey, Entry, Evidence, Orphan, Route, TaskKey, TaskState};
 use crate::rendezvous::weight;
 use crate::time::{Monotonic, Now};
 
@@ -221,24 +221,27 @@
             route: agent.route,
             lost_at: now.mono,
         };
-        let mut orphans = 0;
-        for task in self.tasks.values_mut() {
-            if let TaskState::Dispatched {
-                connection: task_connection,
-                ticket,
-            } = task.state
-                && task_connection == connection
-            {
-                self.tasks_by_ticket.remove(&ticket);
-                task.state = TaskState::Orphaned(orphan);
-                self.jobs[task.job].may_have_run = true;
-                orphans += 1;
-            }
+        let sent: Vec<(TaskKey, DispatchId)> = self
+            .tasks
+            .iter()
+            .filter_map(|(key, task)| match task.state {
+                TaskState::Dispatched {
+                    connection: task_connection,
+                    ticket,
+                    ..
+                } if task_connection == connection => Some((key, ticket)),
+                _ => None,
+            })
+            .collect();
+        for (key, ticket) in &sent {
+            self.tasks_by_ticket.remove(ticket);
+            self.set_state(*key, TaskState::Orphaned(orphan));
+            self.jobs[self.tasks[*key].job].may_have_run = true;
         }
         let line = LogLine::warn("Lost the connection of an agent.")
             .with("agent", &agent.name)
             .with("connection", key_label(connection))
-            .with("tasks", orphans)
+            .with("tasks", sent.len())
             .with(
                 "silent_ms",
                 now.mono.since(agent.last_report_at).as_millis(),
@@ -461,11 +464,11 @@
             },
             now,
         );
-        let is_left = |task: &Task| match task.state {
+        let is_left = |key: &TaskKey| match self.tasks[*key].state {
             TaskState::Orphaned(orphan) => is_covered(&orphan),
             _ => false,
         };
-        if known_connections < self.agent_connections && self.tasks.values().any(is_left) {
+        if known_connections < self.agent_connections && self.orphans.iter().any(is_left) {
             // An agent reports at once when it is asked for frequent reports again.
             self.reduce_reporting(connection);
             self.request_frequent_reports(connection, now.mono);
@@ -478,12 +481,13 @@
     where
         F: Fn(Orphan) -> Option<Evidence>,
     {
+        self.count_work(self.orphans.len());
         let gone: Vec<(TaskKey, Orphan, Evidence)> = self
-            .tasks
+            .orphans
             .iter()
-            .filter_map(|(key, task)| match task.state {
+            .filter_map(|key| match self.tasks[*key].state {
                 TaskState::Orphaned(orphan) => {
-                    evidence_of(orphan).map(|evidence| (key, orphan, evidence))
+                    evidence_of(orphan).map(|evidence| (*key, orphan, evidence))
                 }
                 _ => None,
             })
--- a/crates/core/src/spool/entry/dispatch.rs
+++ b/crates/core/src/spool/entry/dispatch.rs
@@ -1,6 +1,7 @@
 //! Dispatches queued tasks to agents.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -42,11 +43,13 @@
         self.demote_late_tasks(now.mono);
         let mut orders: BTreeMap<ConnectionKey, Vec<Start>> = BTreeMap::new();
         let mut misses = 0;
-        let queue_snapshot: Vec<(Urgency, TaskKey)> = self.queued_tasks.iter().copied().collect();
-        for (urgency, key) in queue_snapshot {
-            if misses >= MAX_MISSES_PER_ROUND {
-                break;
-            }
+        let mut next = self.queued_tasks.first().copied();
+        while let Some((urgency, key)) = next
+            && misses < MAX_MISSES_PER_ROUND
+        {
+            self.count_work(1);
+            let behind = (Bound::Excluded((urgency, key)), Bound::Unbounded);
+            next = self.queued_tasks.range(behind).next().copied();
             match self.choose_agent(key, urgency, now.mono) {
                 Some((connection, _wait))
                     if !self.has_current_load(&self.agents[connection], now.mono) =>
@@ -217,24 +220,7 @@
             return true;
         };
         let this_agent = self.agents[connection].number;
-        let is_on_this_agent = |key: &&TaskKey| {
-            let other = &self.tasks[**key];
-            let may_run_here = match other.state {
-                TaskState::Dispatched {
-                    connection: task_connection,
-                    ..
-                } => task_connection == connection,
-                TaskState::Orphaned(orphan) => orphan.agent_number == this_agent,
-                _ => false,
-            };
-            other.step == task.step && may_run_here
-        };
-        let count = self.jobs[task.job]
-            .tasks
-            .iter()
-            .filter(is_on_this_agent)
-            .count();
-        count < limit as usize
+        self.jobs[task.job].spread.count(task.step, this_agent) < limit
     }
 
     /// Assigns a queued task to an agent and returns the message that starts it there.
@@ -249,8 +235,15 @@
     ) -> Start {
         self.last_ticket += 1;
         let ticket = DispatchId(self.last_ticket);
-        let task = &mut self.tasks[key];
-        task.state = TaskState::Dispatched { connection, ticket };
+        let agent_number = self.agents[connection].number;
+        self.set_state(
+            key,
+            TaskState::Dispatched {
+                connection,
+                ticket,
+                agent_number,
+            },
+        );
         self.tasks_by_ticket.insert(ticket, key);
         let task = &self.tasks[key];
         let job = &mut self.jobs[task.job];
--- a/crates/core/src/spool/entry/jobs.rs
+++ b/crates/core/src/spool/entry/jobs.rs
@@ -11,6 +11,8 @@
 use super::super::log_line::LogLine;
 use super::super::message::{DispatchId, ServerState};
 use super::dispatch::Urgency;
+use super::plan::Plan;
+use super::spread::Spread;
 use super::startup::Verdict;
 use super::{
     Action, Answer, Backlog, ConnectionKey, Entry, Job, JobKey, Refusal, Task, TaskKey, TaskState,
@@ -28,6 +30,9 @@
 /// agents or servers.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Shortest time between two reviews of the late tasks, which look at each of them.
+const HOPELESS_REVIEW_INTERVAL: Duration = Duration::from_millis(10);
+
 /// How a job is accepted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Admission {
@@ -55,6 +60,7 @@
     ) -> JobKey {
         self.expire_due(now);
         let time_given = request.timeout.saturating_sub(ANSWER_TRANSIT);
+        let plan = self.plan(&request.steps, &queue);
         let job = Job {
             id: request.id,
             tasks: Vec::with_capacity(request.task_count()),
@@ -65,6 +71,8 @@
                 .min(self.shutdown_deadline.unwrap_or(Monotonic(u64::MAX))),
             has_dispatched: false,
             may_have_run: false,
+            plan,
+            spread: Spread::default(),
             queue,
             request,
         };
@@ -265,14 +273,32 @@
         backlog
     }
 
+    /// Returns the plan of a job by the run times that are expected now.
+    fn plan(&self, steps: &[Step], queue: &Queue) -> Plan {
+        let plan = Plan::new(steps, |step| {
+            self.estimates.expected_run_time(&queue.name, step.estimate)
+        });
+        self.count_work(plan.size());
+        plan
+    }
+
+    /// Replaces the plan of a job of which nothing has run by one with the run times that are
+    /// expected now.
+    pub(super) fn renew_plan(&mut self, key: JobKey) {
+        let job = &self.jobs[key];
+        let plan = self.plan(&job.request.steps, &job.queue);
+        self.jobs[key].plan = plan;
+    }
+
     /// Creates the tasks of a new job and queues those without dependencies.
     pub(super) fn add_tasks(&mut self, key: JobKey) {
         let steps = self.jobs[key].request.steps.len() as u16;
         for step in 0..steps {
-            let urgency = self.urgency(&self.jobs[key], step);
-            let spec = &self.jobs[key].request.steps[usize::from(step)];
-            let blocked = !spec.depends_on.is_empty();
-            for index in 0..spec.task_count {
+            let job = &self.jobs[key];
+            let urgency = self.urgency(job, step);
+            let task_count = job.request.steps[usize::from(step)].task_count;
+            let blocked = job.plan.is_blocked(step);
+            for index in 0..task_count {
                 let task = self.tasks.insert(Task {
                     job: key,
                     step,
@@ -292,10 +318,35 @@
     }
 
     pub(super) fn enqueue(&mut self, key: TaskKey, urgency: Urgency) {
-        self.tasks[key].state = TaskState::Queued(urgency);
+        self.set_state(key, TaskState::Queued(urgency));
         self.queued_tasks.insert((urgency, key));
     }
 
+    /// Changes the state of a task, and what is counted by states.
+    pub(super) fn set_state(&mut self, key: TaskKey, state: TaskState) {
+        self.count_work(1);
+        let task = &mut self.tasks[key];
+        let before = std::mem::replace(&mut task.state, state);
+        let job = &mut self.jobs[task.job];
+        if job.request.steps[usize::from(task.step)]
+            .max_tasks_per_server
+            .is_some()
+        {
+            if let Some(agent) = before.agent_number() {
+                job.spread.remove(task.step, agent);
+            }
+            if let Some(agent) = state.agent_number() {
+                job.spread.add(task.step, agent);
+            }
+        }
+        if matches!(before, TaskState::Orphaned(_)) {
+            self.orphans.remove(&key);
+        }
+        if matches!(state, TaskState::Orphaned(_)) {
+            self.orphans.insert(key);
+        }
+    }
+
     /// Queues a task again. The caller has made sure that no agent runs the task any more.
     pub(super) fn requeue(&mut self, key: TaskKey) {
         let task = &self.tasks[key];
@@ -309,26 +360,10 @@
             .expected_run_time(&job.queue.name, step.estimate)
     }
 
-    /// Returns the length of the critical path: the longest chain of dependent steps from `first`
-    /// on, on servers of typical speed.
-    pub(super) fn critical_path(&self, job: &Job, first: u16) -> Duration {
-        let steps = &job.request.steps;
-        let mut ends = vec![Duration::ZERO; steps.len()];
-        for (index, step) in steps.iter().enumerate().skip(usize::from(first)) {
-            let dependency_ends = step
-                .depends_on
-                .iter()
-                .filter_map(|&number| ends.get(usize::from(number)));
-            ends[index] = dependency_ends.max().copied().unwrap_or_default()
-                + self.expected_run_time(job, step);
-        }
-        ends.into_iter().max().unwrap_or_default()
-    }
-
     /// Returns the latency objective of a job, counted from its submission. The declared run times
     /// may all be wrong in the same direction; the factor `mean_slowdown` corrects for that.
     fn latency_objective(&self, job: &Job) -> Duration {
-        let run_time = self.critical_path(job, 0).mul_f64(self.mean_slowdown);
+        let run_time = job.plan.longest_chain(0).mul_f64(self.mean_slowdown);
         run_time.mul_f64(job.queue.objective_factor.max(1.0)) + job.queue.objective_offset
     }
 
@@ -341,7 +376,7 @@
     /// Returns the sort key of a step's tasks among the queued ones.
     pub(super) fn urgency(&self, job: &Job, step: u16) -> Urgency {
         let objective_end = job.submitted_at.plus(self.latency_objective(job));
-        let remaining = self.critical_path(job, step).mul_f64(self.mean_slowdown);
+        let remaining = job.plan.longest_chain(step).mul_f64(self.mean_slowdown);
         Urgency {
             late: false,
             latest_start: Monotonic(objective_end.0.saturating_sub(remaining.as_micros() as u64)),
@@ -391,13 +426,15 @@
     /// fastest server.
     fn time_out_hopeless_jobs(&mut self, now: Monotonic) {
         // Late tasks sort last, so there are none if the last one isn't late.
-        if self
+        let has_late = self
             .queued_tasks
             .last()
-            .is_none_or(|(urgency, _key)| !urgency.late)
-        {
+            .is_some_and(|(urgency, _key)| urgency.late);
+        if !has_late || now.since(self.hopeless_reviewed_at) < HOPELESS_REVIEW_INTERVAL {
             return;
         }
+        self.hopeless_reviewed_at = now;
+        self.count_work(self.queued_tasks.len());
         let slowdowns = self
             .agents
             .values()
@@ -426,11 +463,14 @@
     /// Refuses the jobs that missed their latest start before any of their tasks ran. All servers
     /// were busy in the meantime, so these jobs would only delay others.
     fn refuse_late_jobs(&mut self, now: Monotonic) {
+        let mut seen: HashSet<JobKey> = HashSet::new();
         let late: Vec<JobKey> = self
             .queued_tasks
             .iter()
             .take_while(|(urgency, _key)| urgency.latest_start < now && !urgency.late)
+            .inspect(|_queued| self.count_work(1))
             .map(|(_urgency, key)| self.tasks[*key].job)
+            .filter(|key| seen.insert(*key))
             .collect();
         for key in late {
             let Some(job) = self.jobs.get(key) else {
@@ -460,6 +500,7 @@
                 TaskState::Queued(_) | TaskState::Blocked
             )
         };
+        self.count_work(job.tasks.len());
         !job.may_have_run && job.tasks.iter().all(is_waiting)
     }
 
@@ -512,6 +553,7 @@
             return;
         };
         self.end_wait(key, None);
+        self.count_work(job.tasks.len());
         let mut cancels: Vec<(ConnectionKey, DispatchId)> = Vec::new();
         for task_key in job.tasks {
             let Some(task) = self.tasks.remove(task_key) else {
@@ -523,15 +565,15 @@
                 }
                 // A task whose outcome causes this answer is no longer in `tasks_by_ticket` and
                 // needs no cancel.
-                TaskState::Dispatched { connection, ticket }
-                    if self.tasks_by_ticket.remove(&ticket).is_some() =>
-                {
+                TaskState::Dispatched {
+                    connection, ticket, ..
+                } if self.tasks_by_ticket.remove(&ticket).is_some() => {
                     cancels.push((connection, ticket));
                 }
-                TaskState::Dispatched { .. }
-                | TaskState::Blocked
-                | TaskState::Orphaned(_)
-                | TaskState::Completed => {}
+                TaskState::Orphaned(_) => {
+                    self.orphans.remove(&task_key);
+                }
+                TaskState::Dispatched { .. } | TaskState::Blocked | TaskState::Completed => {}
             }
         }
         cancels.sort_unstable();
@@ -544,7 +586,7 @@
     /// Records the success of a task, and answers the job once all tasks have succeeded.
     pub(super) fn complete_task(&mut self, key: TaskKey, now: Now) {
         let (job_key, step) = (self.tasks[key].job, self.tasks[key].step);
-        self.tasks[key].state = TaskState::Completed;
+        self.set_state(key, TaskState::Completed);
         let job = &mut self.jobs[job_key];
         job.unfinished_tasks -= 1;
         job.may_have_run = true;
@@ -556,33 +598,16 @@
         }
     }
 
-    /// Queues the steps whose last incomplete dependency was `step`.
+    /// Records the success of a task of a step, and queues the steps that waited for it alone.
     fn unblock_steps_after(&mut self, job_key: JobKey, step: u16) {
-        let job = &self.jobs[job_key];
-        let done = |number: u16| {
-            job.tasks
-                .iter()
-                .map(|key| &self.tasks[*key])
-                .filter(|task| task.step == number)
-                .all(|task| task.state == TaskState::Completed)
-        };
-        if !done(step) {
-            return;
-        }
-        let ready = |task: &Task| {
-            let after = &job.request.steps[usize::from(task.step)].depends_on;
-            task.state == TaskState::Blocked
-                && after.contains(&step)
-                && after.iter().all(|&number| done(number))
-        };
-        let next: Vec<TaskKey> = job
-            .tasks
-            .iter()
-            .copied()
-            .filter(|key| ready(&self.tasks[*key]))
-            .collect();
-        for key in next {
-            self.requeue(key);
+        let plan = &mut self.jobs[job_key].plan;
+        let unblocked = plan.complete_task(step);
+        let visited = plan.released_dependencies(step);
+        self.count_work(visited);
+        for step in unblocked {
+            for position in self.jobs[job_key].plan.tasks_of(step) {
+                self.requeue(self.jobs[job_key].tasks[position]);
+            }
         }
     }
 
--- a/crates/core/src/spool/entry/startup.rs
+++ b/crates/core/src/spool/entry/startup.rs
@@ -297,7 +297,7 @@
         now: Monotonic,
     ) -> Verdict {
         let job = &self.jobs[key];
-        let remaining = self.critical_path(job, 0).mul_f64(self.mean_slowdown);
+        let remaining = job.plan.longest_chain(0).mul_f64(self.mean_slowdown);
         let latest_end_in_budget = job.deadline.0.saturating_sub(remaining.as_micros() as u64);
         let outlook = Outlook {
             phase: self.startup_phase(has_server, now),
@@ -356,6 +356,7 @@
                     self.startup.remove(key);
                     self.startup.admitted_jobs += 1;
                     self.actions.push(Action::CountStartup("admitted"));
+                    self.renew_plan(key);
                     self.add_tasks(key);
                 }
                 Ok(super::jobs::Admission::WaitUntil(_)) => misses += 1,
