fix(web): refuse callers above the limits at once and spread their returns

What callers saw: while all connections of a listener waited for answers, a new one was closed without an answer, from which a caller can't tell whether its request was run. A request without room for its body was told to come back after 1 s, together with all others.

Change: the first request of a connection above the limit is refused with 503 and `Retry-After`, without reading its body; 16 such connections at a time, further ones are closed. The delay of both refusals is drawn from 1 to 4 s.

--- a/crates/core/src/connection_budget.rs
+++ b/crates/core/src/connection_budget.rs
@@ -10,6 +10,7 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
+use rand::Rng;
 use slotmap::{SlotMap, new_key_type};
 use smallvec::SmallVec;
 use strum::IntoStaticStr;
@@ -23,6 +24,11 @@
 /// An ordinary caller sends its request within a round trip after it has connected.
 const STALL_TIME: Duration = Duration::from_secs(1);
 
+/// Range of the retry delay, in seconds, of a request that is refused for lack of room. Stalled bodies
+/// and connections give way to others within seconds, and the refused callers come back one after
+/// the other.
+const RETRY_SECONDS: (u64, u64) = (1, 4);
+
 new_key_type! {
     /// Key of an open connection.
     pub struct ConnectionKey;
@@ -67,6 +73,16 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Refused;
 
+/// Draws the delay, in whole seconds, after which the caller of a request should retry that was refused
+/// for lack of room.
+pub fn retry_after<R>(random: &mut R) -> Duration
+where
+    R: Rng,
+{
+    let (least, most) = RETRY_SECONDS;
+    Duration::from_secs(random.random_range(least..=most))
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
     /// Waits for a request, or for the end of its head.
--- a/crates/kernel/src/connection_limiter.rs
+++ b/crates/kernel/src/connection_limiter.rs
@@ -7,9 +7,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use ibisspool_core::connection_budget::{ConnectionBudget, ConnectionKey, Limits, Reason, Refused};
+use ibisspool_core::connection_budget::{
+    self, ConnectionBudget, ConnectionKey, Limits, Reason, Refused,
+};
 use ibisspool_core::time::Monotonic;
 use prometheus::{Gauge, IntCounterVec};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use tokio::sync::oneshot;
 
 use crate::metrics::Metrics;
@@ -45,6 +49,8 @@
     /// Wakes the task of a connection that has to be closed.
     close_triggers: HashMap<ConnectionKey, oneshot::Sender<()>>,
     logged_at: Option<Instant>,
+    /// Spreads the retry delays of refused callers.
+    retry_random: SmallRng,
     /// What this limiter has added to the gauges, which all limiters of the process share.
     shown_bytes: usize,
     shown_connections: usize,
@@ -105,6 +111,7 @@
             budget: ConnectionBudget::new(limits),
             close_triggers: HashMap::new(),
             logged_at: None,
+            retry_random: SmallRng::seed_from_u64(rand::random()),
             shown_bytes: 0,
             shown_connections: 0,
         };
@@ -139,6 +146,12 @@
         Some((permit, must_close))
     }
 
+    /// Draws the delay after which the caller of a request should retry that was refused for lack of
+    /// room.
+    pub fn retry_after(&self) -> Duration {
+        connection_budget::retry_after(&mut self.lock().retry_random)
+    }
+
     /// Lets the tasks of closed connections free their descriptors if no more may be open. Call this
     /// before each accept, which would otherwise go on while connections wait in the backlog.
     pub async fn yield_if_full(&self) {
@@ -281,6 +294,11 @@
         }))
     }
 
+    /// Draws the delay after which the caller should retry if its request is refused for lack of room.
+    pub fn retry_after(&self) -> Duration {
+        self.limiter.retry_after()
+    }
+
     /// Records that the answer to the request is known.
     pub fn end_answer(&self) {
         let now = self.limiter.now();
--- a/crates/kernel/src/web/server.rs
+++ b/crates/kernel/src/web/server.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,7 +17,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{MissedTickBehavior, timeout};
 
@@ -36,8 +37,12 @@
 /// Smallest capacity of the buffer of a body that arrives in several pieces.
 const MIN_BODY_CAPACITY: usize = 4 << 10;
 
-/// Value of `Retry-After` in the refusal of a request while bodies use the whole budget.
-const BUDGET_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Connections above the limit of a listener whose first request is refused, so that its caller learns
+/// when to come back. Further ones are closed at once.
+const MAX_REFUSED_CONNECTIONS: usize = 16;
+
+/// Longest time for the first request of a connection above the limit, and for its refusal.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Limits for the requests of one connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -377,6 +382,7 @@
     F: Future<Output = Option<Reply>> + 'static,
 {
     let handle = Rc::new(handle);
+    let refused_connections = Arc::new(Semaphore::new(MAX_REFUSED_CONNECTIONS));
     let mut slow_body_ticks = tokio::time::interval(SLOW_BODY_INTERVAL);
     slow_body_ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -399,6 +405,9 @@
                         must_close,
                     };
                     spawn_local(connection.serve(stream, Rc::clone(&handle), shutdown.clone()));
+                } else if let Ok(place) = Arc::clone(&refused_connections).try_acquire_owned() {
+                    let error = RequestError::NoRoom(limiter.retry_after());
+                    spawn_local(refuse_connection(stream, options, limits(), error, place));
                 }
             }
             Err(error) => {
@@ -409,6 +418,28 @@
     }
 }
 
+/// Refuses the first request on a connection above the limit, without reading its body.
+async fn refuse_connection(
+    stream: TcpStream,
+    options: Options,
+    limits: Limits,
+    error: RequestError,
+    _place: OwnedSemaphorePermit,
+) {
+    let was_refused = Rc::new(Cell::new(true));
+    let stream = Stream::new(stream, options, limits, was_refused);
+    let refuse = |request: http::Request<Incoming>| {
+        let reply = options.refusal(error, Some(request.method()));
+        async move { Ok::<_, Infallible>(reply.into_response()) }
+    };
+    let connection = http1::Builder::new()
+        .max_buf_size(limits.head_bytes.max(MIN_HEAD_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service_fn(refuse));
+    if !matches!(timeout(REFUSAL_TIMEOUT, connection).await, Ok(Ok(()))) {
+        log::debug!("http: A connection above the limit ended without its refusal.");
+    }
+}
+
 /// A handler gave no reply, so that the connection is closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 #[error("the handler gave no reply")]
@@ -526,7 +557,7 @@
     };
     let body = permit
         .begin_answer(body)
-        .map_err(|_refused| RequestError::NoRoom(BUDGET_RETRY_AFTER))?;
+        .map_err(|_refused| RequestError::NoRoom(permit.retry_after()))?;
     Ok(Call {
         method: head.method,
         uri: head.uri,
@@ -542,7 +573,7 @@
     max_bytes: usize,
     permit: &ConnectionPermit,
 ) -> Result<Vec<u8>, RequestError> {
-    let no_room = |_refused| RequestError::NoRoom(BUDGET_RETRY_AFTER);
+    let no_room = |_refused| RequestError::NoRoom(permit.retry_after());
     permit.begin_body().map_err(no_room)?;
     // The upper bound is the declared length, if there is one.
     let declared = body.size_hint().upper();
