--- a/crates/kernel/src/connection_limits.rs
+++ b/crates/kernel/src/connection_limits.rs
@@ -96,7 +96,7 @@
                 setting_flag(
                     "body-budget-kb",
                     "KB",
-                    "Bodies in flight at the main listener; 0 for an eighth of the memory",
+                    "Bodies in flight at the main listener; 0 for a share of the memory",
                 )
                 .default_value("0"),
             )
@@ -124,7 +124,7 @@
     /// # Errors
     /// Fails on the first value that cannot be parsed, is out of range or does not fit.
     pub fn read(matches: &ArgMatches) -> Result<Self, Error> {
-        Given::read(matches)?.derive(INTERNAL_HTTP_LIMITS.body_bytes as u64)
+        Basis::read(matches)?.derive(INTERNAL_HTTP_LIMITS.body_bytes as u64)
     }
 
     /// Does the same as [`Settings::read`] for a process of the durable interface, whose main listener
@@ -133,17 +133,17 @@
     /// # Errors
     /// Fails on the first value that cannot be parsed, is out of range or does not fit.
     pub fn read_durable(matches: &ArgMatches, largest_body: usize) -> Result<Self, Error> {
-        let given = Given {
+        let basis = Basis {
             body_share_divisor: DURABLE_BODY_SHARE_DIVISOR,
-            ..Given::read(matches)?
+            ..Basis::read(matches)?
         };
-        given.derive(largest_body as u64)
+        basis.derive(largest_body as u64)
     }
 
     /// Creates the settings of a process of the durable interface that is told nothing of its VM, and
     /// whose main listener takes bodies of up to `largest_body` bytes.
     pub fn durable(largest_body: usize) -> Self {
-        let given = Given {
+        let basis = Basis {
             memory_mb: default_memory_mb(),
             max_fds: descriptor_limit(),
             body_kb: None,
@@ -151,13 +151,13 @@
             min_body_rate: DEFAULT_MIN_BODY_RATE,
             body_share_divisor: DURABLE_BODY_SHARE_DIVISOR,
         };
-        given.limits(largest_body as u64)
+        basis.limits(largest_body as u64)
     }
 }
 
 /// What the limits are derived from.
 #[derive(Debug, Clone, Copy)]
-struct Given {
+struct Basis {
     memory_mb: u64,
     max_fds: u64,
     body_kb: Option<u64>,
@@ -166,7 +166,7 @@
     body_share_divisor: u64,
 }
 
-impl Given {
+impl Basis {
     fn read(matches: &ArgMatches) -> Result<Self, Error> {
         let number = |name: &str, max: u64| read_optional_in_range(matches, name, max);
         Ok(Self {
--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -167,7 +167,6 @@
         body_timeout: Some(IDLE_TIMEOUT),
         write_timeout: Some(IDLE_TIMEOUT),
         refuse: Some(refuse),
-        answers_half_closed: true,
     };
     let limits = Limits {
         head_bytes: MAX_HEAD_BYTES,
--- a/crates/kernel/src/web/server.rs
+++ b/crates/kernel/src/web/server.rs
@@ -115,9 +115,6 @@
     /// Creates the answer to a request that is refused, by its method if that is known. The
     /// connection is closed after it.
     pub refuse: Option<fn(RequestError, Option<&Method>) -> Reply>,
-    /// Whether a caller that has closed its sending side still gets its answer. Otherwise the caller
-    /// counts as gone.
-    pub answers_half_closed: bool,
 }
 
 impl Options {
@@ -493,7 +490,6 @@
         };
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .half_close(options.answers_half_closed)
             .header_read_timeout(limits.head_timeout)
             .max_buf_size(max_head_bytes)
             .serve_connection(TokioIo::new(stream), service_fn(answer));
--- a/crates/kernel/src/web/stream.rs
+++ b/crates/kernel/src/web/stream.rs
@@ -147,8 +147,8 @@
     }
 }
 
-/// Returns the status of an answer without headers of the server's own, by which hyper refuses a
-/// malformed head; `None` for any other answer.
+/// Returns the status of an answer without a body that refuses a head and closes the connection, as
+/// hyper sends it by itself; `None` for any other answer.
 fn status_of_bare_answer(answer: &[u8]) -> Option<StatusCode> {
     let code = answer.strip_prefix(b"HTTP/1.1 ")?.get(..3)?;
     let status = StatusCode::from_bytes(code).ok()?;
@@ -158,11 +158,13 @@
             | StatusCode::URI_TOO_LONG
             | StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE
     );
-    let has_no_body = || {
+    let has_line = |wanted: &[u8]| {
         let mut lines = answer.split(|byte| *byte == b'\n');
-        lines.any(|line| line.eq_ignore_ascii_case(b"content-length: 0\r"))
+        lines.any(|line| line.eq_ignore_ascii_case(wanted))
     };
-    (is_refusal && has_no_body()).then_some(status)
+    let is_bare =
+        is_refusal && has_line(b"content-length: 0\r") && has_line(b"connection: close\r");
+    is_bare.then_some(status)
 }
 
 impl AsyncRead for Stream {
--- a/crates/kernel/tests/connection_limiter.rs
+++ b/crates/kernel/tests/connection_limiter.rs
@@ -162,6 +162,24 @@
     .expect("the server runs");
 }
 
+#[test]
+fn a_refused_caller_that_goes_on_sending_reads_its_refusal() {
+    const SENT_BYTES: usize = 1 << 20;
+    let answer = block_on(async {
+        let server = Server::start(LIMITS).await?;
+        let too_large = INTERNAL_HTTP_LIMITS.body_bytes + 1;
+
+        let mut refused = server.send("/", too_large, SENT_BYTES).await?;
+        let answer = read(&mut refused).await?;
+
+        assert_eq!(server.handled.get(), 0);
+        Ok(answer)
+    });
+
+    let answer = answer.expect("the server runs");
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+}
+
 #[test]
 fn a_stalled_body_makes_room_and_is_not_handled() {
     block_on(async {
