--- a/review/stage-3/stage.rs
+++ b/review/stage-3/stage.rs
@@ -464,16 +464,20 @@
         self.journal.add(format!("executor {} crashes", self.index));
     }
 
-    /// Starts the executor again, under the id that it had, as another kind.
-    pub fn restart_under_its_id(self: &Arc<Self>, kind: Kind) {
+    /// Starts the executor again as another kind, under the id that it had or under a new one.
+    pub fn restart(self: &Arc<Self>, keeps_id: bool, kind: Kind) {
         {
             let mut state = lock(&self.state);
             let boot = state.boot + 1;
+            let id = if keeps_id {
+                state.id.clone()
+            } else {
+                format!("i-{}-{boot}", self.index)
+            };
             self.journal.add(format!(
-                "executor {} starts again as boot {boot} under its id {}: kind {}, {} millicores",
-                self.index, state.id, kind.label, kind.cpu_millicores
+                "executor {} starts again as boot {boot} under the id {id}: kind {}, {} millicores",
+                self.index, kind.label, kind.cpu_millicores
             ));
-            let id = state.id.clone();
             *state = new_boot(boot, id, kind);
         }
         self.listen();
@@ -1097,14 +1101,14 @@
         status
     }
 
-    pub fn freeze_agent(&self, index: usize) {
-        self.journal.add(format!("side-{index} freezes"));
-        self.agents[index].signal("STOP");
+    pub fn freeze(&self, process: &Process) {
+        self.journal.add(format!("{} freezes", process.name));
+        process.signal("STOP");
     }
 
-    pub fn thaw_agent(&self, index: usize) {
-        self.agents[index].signal("CONT");
-        self.journal.add(format!("side-{index} wakes"));
+    pub fn thaw(&self, process: &Process) {
+        process.signal("CONT");
+        self.journal.add(format!("{} wakes", process.name));
     }
 
     /// Writes the record, ends all processes and exits with the verdict.
