--- a/review/stage-3/stage.rs
+++ b/review/stage-3/stage.rs
@@ -860,6 +860,9 @@
 
 // ---------------------------------------------------------------- stage
 
+/// Whether a signal could not be sent, so that the case says nothing.
+static HAS_FAILED_SIGNAL: AtomicBool = AtomicBool::new(false);
+
 /// A process of the project.
 #[derive(Debug)]
 pub struct Process {
@@ -869,9 +872,12 @@
 
 impl Process {
     fn signal(&self, name: &str) {
-        let _status = Command::new("kill")
-            .args([format!("-{name}"), self.child.id().to_string()])
-            .status();
+        // The command of the shell, since not every machine has a program of that name.
+        let command = format!("kill -{name} {}", self.child.id());
+        let status = Command::new("bash").args(["-c", &command]).status();
+        if !status.is_ok_and(|status| status.success()) {
+            HAS_FAILED_SIGNAL.store(true, Ordering::SeqCst);
+        }
     }
 }
 
@@ -1125,7 +1131,8 @@
             println!("BROKEN: {line}");
         }
         println!("{} starts, verdict {verdict}", self.starts().len());
-        std::process::exit(if is_written { verdict } else { NOT_RUN });
+        let has_run = is_written && !HAS_FAILED_SIGNAL.load(Ordering::SeqCst);
+        std::process::exit(if has_run { verdict } else { NOT_RUN });
     }
 }
 
