fix(agent): report a change of the server's labels at once

What callers saw: tasks came back declined, or ran where they may not, for up to 0.2 s after a backend server had started again with other labels.

Cause: an agent reports early only if its load affects placement. A server that starts again with the same room and other labels has the same load, so that entries learned of it with the next periodic report.

Change: a state of the server that an entry has not been told makes a report due, within the shortest interval between reports; to an entry with reduced reporting, within that of large changes.

Evidence: `entries_are_told_at_once_of_a_server_with_other_labels` fails on (no report 8 ms after the change) and passes now.

--- a/crates/core/src/spool/agent/report.rs
+++ b/crates/core/src/spool/agent/report.rs
@@ -197,6 +197,7 @@
             self.load_reports_due_at = None;
         }
         let load = self.load(now);
+        let server = self.server_state();
         let min_interval = self.min_load_report_interval();
         let mut next_due: Option<Monotonic> = None;
         let keys: Vec<ConnectionKey> = self.connections.keys().collect();
@@ -204,15 +205,16 @@
             let connection = &self.connections[key];
             let age = connection.last_report_at.map(|at| now.since(at));
             let has_elapsed = |interval| age.is_none_or(|age| age >= interval);
+            let is_server_new = server != connection.last_server;
             let (is_periodic, has_news) = if connection.has_reduced_reporting {
                 let is_large = self.is_large_change(&connection.last_load, &load);
                 (
                     has_elapsed(REDUCED_REPORT_INTERVAL),
-                    is_large && has_elapsed(REPORT_INTERVAL),
+                    (is_large || is_server_new) && has_elapsed(REPORT_INTERVAL),
                 )
             } else {
-                let is_relevant =
-                    is_load_due && self.affects_placement(&connection.last_load, &load);
+                let is_relevant = is_load_due
+                    && (is_server_new || self.affects_placement(&connection.last_load, &load));
                 if is_relevant && !has_elapsed(min_interval) {
                     let due = connection.last_report_at.unwrap_or(now).plus(min_interval);
                     next_due = Some(next_due.map_or(due, |earliest| earliest.min(due)));
@@ -340,11 +342,16 @@
         }
     }
 
-    fn send_report(&mut self, key: ConnectionKey, load: Load, now: Monotonic) {
-        let server = self.backend.as_ref().map(|backend| ServerState {
+    /// Returns the state of the server for the entries, `None` while no server is known.
+    fn server_state(&self) -> Option<ServerState> {
+        self.backend.as_ref().map(|backend| ServerState {
             ready: self.is_accepting_tasks(),
             ..backend.reported_state()
-        });
+        })
+    }
+
+    fn send_report(&mut self, key: ConnectionKey, load: Load, now: Monotonic) {
+        let server = self.server_state();
         let has_read_run_lists = self.has_read_run_lists;
         let connection = &self.connections[key];
         let is_of_earlier_connection =
