fix(agent): decline tasks that were placed by an earlier profile of the server

Cause: a label is compared by the entry alone, with a report that may be 0.3 s old. An entry that had stood still sent a step by the report of the incarnation before; the agent, which had known the next one for 0.13 s, compared service and capacity only. The order did not tell by which state of the server it had been decided.

Change: an order echoes the newest report that its entry has handled. The agent keeps, for each connection, the last report before the one that told the present profile (service, capacity, labels), and declines tasks whose order echoes no later one. Why this works: the profile that the entry compared is that of the report which it echoes, so each condition that an entry reads from a report is covered. Nothing is added to the messages: orders of earlier entries are checked in the same way, and `message_versions.rs` holds the bytes of an order. `A task ended.` and `ibisspool_run_evidence_total` tell `server_changed`.

Four tests sent orders that echoed a report which the agent had not sent yet. Now the agent's tick sends it before; what they ask is unchanged.

--- a/crates/core/src/spool/agent/announcement.rs
+++ b/crates/core/src/spool/agent/announcement.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use super::super::job::Resources;
+use super::super::message::ServerState;
 use super::super::safety::SLOWEST_CLOCK_RATE;
 use crate::time::Monotonic;
 
@@ -48,6 +49,15 @@
     pub labels: Vec<String>,
 }
 
+impl Profile {
+    /// Returns whether an entry that was told `state` knows this profile.
+    pub(super) fn is_told_by(&self, state: &ServerState) -> bool {
+        self.service == state.service
+            && self.capacity == state.capacity
+            && self.labels == state.labels
+    }
+}
+
 /// State that a backend server announces about itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Announcement {
--- a/crates/core/src/spool/agent/entry_messages.rs
+++ b/crates/core/src/spool/agent/entry_messages.rs
@@ -1,14 +1,17 @@
 //! Handling of the messages that entries send to the agent.
 
 use super::super::log_line::LogLine;
-use super::super::message::{DeclineReason, DispatchId, End, Kind, Order, Start, StartKinds};
+use super::super::message::{
+    DeclineReason, DispatchId, End, Kind, Order, Start, StartKinds, Timestamp,
+};
 use super::{Agent, ConnectionKey, Evidence, Phase, Progress, Run};
 use crate::time::{Monotonic, Now};
 
 impl Agent {
     /// Handles a message of an entry. A message whose echoed timestamp is older than
     /// `safety.entry_silence_limit` does not extend the time for which the entry counts as alive,
-    /// and its tasks are declined unless an earlier message still keeps the entry alive.
+    /// and its tasks are declined unless an earlier message still keeps the entry alive. So are tasks
+    /// of a message that echoes no report of the server's present profile.
     pub fn handle_order(&mut self, connection: ConnectionKey, order: Order, now: Now) {
         self.handle_order_with_kinds(connection, order, None, now);
     }
@@ -47,7 +50,7 @@
         for start in order.starts {
             self.record_task_cpu(start.needs.cpu_millicores);
             let kind = kinds.next().unwrap_or(Kind::OTHER);
-            self.accept_or_decline(connection, start, kind, now);
+            self.accept_or_decline(connection, start, kind, order.echoed_timestamp, now);
         }
         self.start_queued_runs(now);
         self.set_reduced_reporting(connection, order.reduced_reporting, now.mono);
@@ -95,19 +98,35 @@
         self.stop_run(key, end, "cancelled", now);
     }
 
-    /// Queues a task, or declines it if its entry counts as silent or the server cannot run it.
-    fn accept_or_decline(&mut self, key: ConnectionKey, start: Start, kind: Kind, now: Now) {
+    /// Queues a task, or declines it if its entry counts as silent, the server cannot run it, or the
+    /// entry chose the server by a profile that it no longer has. `echo` is the timestamp that the
+    /// entry echoed in the message with the task.
+    fn accept_or_decline(
+        &mut self,
+        key: ConnectionKey,
+        start: Start,
+        kind: Kind,
+        echo: Option<Timestamp>,
+        now: Now,
+    ) {
         let Some(connection) = self.connections.get(key) else {
             return;
         };
-        let is_stale = connection.alive_until <= now.mono;
+        let decline = if connection.alive_until <= now.mono {
+            Some((DeclineReason::Stale, Evidence::NeverSent))
+        } else if !self.knows_profile(key, echo.filter(|echo| echo.0 <= now.mono.0)) {
+            Some((DeclineReason::Closed, Evidence::ServerChanged))
+        } else if !self.can_run(&start) {
+            Some((DeclineReason::Closed, Evidence::NeverSent))
+        } else {
+            None
+        };
         let entry = connection.entry.clone();
         let latest_start = if start.slack_us < 0 {
             Monotonic(now.mono.0.saturating_sub(start.slack_us.unsigned_abs()))
         } else {
             Monotonic(now.mono.0.saturating_add(start.slack_us.unsigned_abs()))
         };
-        let is_closed = !self.can_run(&start);
         let cpu = start.needs.cpu_millicores;
         let run = self.runs.insert(Run {
             start,
@@ -132,20 +151,8 @@
         if let Some(neighbours) = &mut self.neighbours {
             neighbours.add_queued(run, kind, cpu);
         }
-        if is_stale {
-            self.finish_run(
-                run,
-                End::NotStarted(DeclineReason::Stale),
-                Evidence::NeverSent,
-                now,
-            );
-        } else if is_closed {
-            self.finish_run(
-                run,
-                End::NotStarted(DeclineReason::Closed),
-                Evidence::NeverSent,
-                now,
-            );
+        if let Some((reason, evidence)) = decline {
+            self.finish_run(run, End::NotStarted(reason), evidence, now);
         }
     }
 
--- a/crates/core/src/spool/agent/evidence.rs
+++ b/crates/core/src/spool/agent/evidence.rs
@@ -9,6 +9,9 @@
 pub enum Evidence {
     /// The task was still queued, so no start request was sent.
     NeverSent,
+    /// The server has another profile than the one by which the entry placed the task, so no start
+    /// request reached it.
+    ServerChanged,
     /// No connection could be opened, so the start request did not leave the agent.
     NotConnected,
     /// The server refused the start request sent at this time.
@@ -30,7 +33,7 @@
     /// never reached it.
     pub fn requested_at(self) -> Option<Monotonic> {
         match self {
-            Self::NeverSent | Self::NotConnected => None,
+            Self::NeverSent | Self::ServerChanged | Self::NotConnected => None,
             Self::StartRefused(at)
             | Self::ListedEnd(at)
             | Self::Unlisted(at)
--- a/crates/core/src/spool/agent/report.rs
+++ b/crates/core/src/spool/agent/report.rs
@@ -58,6 +58,9 @@
     pub last_report_at: Option<Monotonic>,
     /// State of the server as last reported; left out of a report while it is the same.
     pub last_server: Option<ServerState>,
+    /// Timestamp of the last report before the one that told the profile in `last_server`. An entry
+    /// that echoes no later one does not know that profile.
+    pub outdated_stamp: Option<Timestamp>,
     pub last_load: Load,
     /// Whether the entry has asked for reduced reporting, since it does not use this agent.
     pub has_reduced_reporting: bool,
@@ -77,6 +80,7 @@
             outcomes: Vec::new(),
             last_report_at: None,
             last_server: None,
+            outdated_stamp: None,
             last_load: Load::default(),
             has_reduced_reporting: false,
             wants_neighbours: false,
@@ -350,6 +354,25 @@
         })
     }
 
+    /// Returns whether an entry that echoes the timestamp `echo` knows the server's present profile.
+    /// Only then has it compared its tasks with the service, the capacity and the labels that the
+    /// server has now.
+    pub(super) fn knows_profile(&self, key: ConnectionKey, echo: Option<Timestamp>) -> bool {
+        self.connections.get(key).is_some_and(|connection| {
+            self.has_told_profile(connection)
+                && echo.is_some_and(|echo| connection.outdated_stamp < Some(echo))
+        })
+    }
+
+    /// Returns whether the last report on a connection, or an earlier one that still holds, told the
+    /// server's present profile.
+    fn has_told_profile(&self, connection: &Connection) -> bool {
+        self.backend
+            .as_ref()
+            .zip(connection.last_server.as_ref())
+            .is_some_and(|(backend, told)| backend.announced.profile().is_told_by(told))
+    }
+
     fn send_report(&mut self, key: ConnectionKey, load: Load, now: Monotonic) {
         let server = self.server_state();
         let has_read_run_lists = self.has_read_run_lists;
@@ -359,7 +382,11 @@
         let cleared = has_read_run_lists
             && self.unknown_runs.is_empty()
             && !self.runs.values().any(is_of_earlier_connection);
+        let is_profile_new = !self.has_told_profile(&self.connections[key]);
         let connection = &mut self.connections[key];
+        if is_profile_new {
+            connection.outdated_stamp = connection.last_report_at.map(|at| Timestamp(at.0));
+        }
         connection.last_report_at = Some(now);
         connection.last_load = load;
         let server = if server == connection.last_server {
--- a/crates/core/src/spool/message.rs
+++ b/crates/core/src/spool/message.rs
@@ -130,8 +130,8 @@
 pub enum DeclineReason {
     /// The entry has echoed no recent report, so it counts as silent.
     Stale,
-    /// The server is draining, unreachable, unknown, too small or of another service, or its data
-    /// centre is out of service.
+    /// The server is draining, unreachable, unknown, too small, of another service or no longer the
+    /// one that the entry placed the task on, or its data centre is out of service.
     Closed,
     /// The task waited for free resources for as long as its entry allows.
     Busy,
--- a/crates/core/tests/spool_announcement.rs
+++ b/crates/core/tests/spool_announcement.rs
@@ -29,8 +29,10 @@
     INTERVAL_MS
 }
 
-/// Sends a task, and returns the jobs whose tasks start at once.
+/// Sends a task, and returns the jobs whose tasks start at once. The entry knows the reports that the
+/// agent has to send by then.
 fn jobs_started_by(agent: &mut Agent, link: ConnectionKey, job: u64, millis: u64) -> Vec<u64> {
+    agent.handle_tick(at(millis));
     agent.take_actions();
     send(agent, link, job, at(millis));
     take_started_jobs(agent)
@@ -314,7 +316,7 @@
     agent.handle_listing(&empty_listing(NAME, BORN, 511), at(11).mono, at(12));
 
     assert!(by_false.is_empty());
-    assert_eq!(jobs_started_by(&mut agent, link, 2, 13), [2]);
+    assert_eq!(jobs_started_by(&mut agent, link, 2, 16), [2]);
 }
 
 /// Guards against a false report that takes the server's own with it when the server's clock refutes it
@@ -332,7 +334,7 @@
     agent.handle_listing(&empty_listing(NAME, BORN, 502), at(2).mono, at(3));
     agent.handle_listing(&empty_listing(NAME, BORN, 504), at(4).mono, at(5));
 
-    assert_eq!(jobs_started_by(&mut agent, link, 1, 6), [1]);
+    assert_eq!(jobs_started_by(&mut agent, link, 1, 7), [1]);
 }
 
 /// Guards against one false claim that wins over several of the server's own because it is the oldest
@@ -350,7 +352,7 @@
 
     agent.handle_listing(&empty_listing(NAME, BORN, 522), at(22).mono, at(23));
     let started: Vec<u64> = (1..=4)
-        .flat_map(|job| jobs_started_by(&mut agent, link, job, 23 + job))
+        .flat_map(|job| jobs_started_by(&mut agent, link, job, 27 + job))
         .collect();
 
     assert_eq!(started, [1, 2, 3], "three tasks fit");
--- a/crates/core/tests/spool_incarnation.rs
+++ b/crates/core/tests/spool_incarnation.rs
@@ -76,7 +76,8 @@
 
     let check = agent.next_poll(at(5)).expect("the server is asked");
     agent.handle_listing(&empty_listing(NAME, BORN, 500), at(5).mono, at(6));
-    send(&mut agent, link, 1, at(7));
+    agent.handle_tick(at(10));
+    send(&mut agent, link, 1, at(10));
 
     assert_eq!(&*check.incarnation, NAME);
     assert_eq!(take_started_jobs(&mut agent), [1]);
--- a/crates/core/tests/spool_server_change.rs
+++ b/crates/core/tests/spool_server_change.rs
@@ -1,11 +1,16 @@
-//! What an agent does after its backend server has started again as another kind.
+//! Which tasks an agent starts after its backend server has started again as another kind. Entries
+//! place tasks by the service, the capacity and the labels that the agent has reported, and an order
+//! can be on its way when they change.
 
 #[allow(dead_code, reason = "each test file uses a part of it")]
 #[path = "spool/agent_fixture.rs"]
 mod agent_fixture;
 
 use agent_fixture::*;
-use ibisspool_core::spool::agent::{Agent, Announcement, ConnectionKey};
+use ibisspool_core::spool::agent::{Action, Agent, Announcement, ConnectionKey};
+use ibisspool_core::spool::message::{DeclineReason, End, Order, Timestamp};
+
+const CLOSED: End = End::NotStarted(DeclineReason::Closed);
 
 /// Returns an announcement of a server of the usual service and capacity with one label.
 fn labelled(incarnation: &str, born: u64, label: &str) -> Announcement {
@@ -34,6 +39,74 @@
     agent.handle_listing(&empty_listing(incarnation, REBORN, 2), at(21).mono, at(22));
 }
 
+/// Sends a task of an entry that last got the report which the agent sent at `echo_ms`.
+fn send_with_echo(agent: &mut Agent, link: ConnectionKey, job: u64, echo_ms: u64, millis: u64) {
+    let order = Order {
+        echoed_timestamp: Some(Timestamp(at(echo_ms).mono.0)),
+        starts: vec![task(job)],
+        ..order(job, at(millis))
+    };
+    agent.handle_order(link, order, at(millis));
+}
+
+/// Guards against tasks on a server without the label that they require: an entry that was suspended
+/// sent them by what it knew of the incarnation before (review case 12).
+#[test]
+fn a_task_placed_by_an_earlier_report_does_not_start_on_the_next_incarnation() {
+    for next in ["i-labelled", "i-3"] {
+        let (mut agent, link) = agent_of_labelled_server("b");
+        replace_server(&mut agent, next, "a");
+        agent.take_actions();
+
+        send_with_echo(&mut agent, link, 1, 8, 25);
+        let actions = agent.take_actions();
+        let ends: Vec<_> = reports(&actions)
+            .flat_map(|report| &report.outcomes)
+            .map(|outcome| (outcome.ticket.0, outcome.end))
+            .collect();
+        let told_at = reports(&actions)
+            .find(|r| r.server.is_some())
+            .map(|r| r.sent_at);
+        send_with_echo(&mut agent, link, 2, 25, 30);
+
+        let is_start = |action: &Action| matches!(action, Action::Start { .. });
+        assert!(!actions.iter().any(is_start), "{next}");
+        assert_eq!(ends, [(1, CLOSED)], "{next}");
+        assert_eq!(told_at, Some(Timestamp(at(25).mono.0)), "{next}");
+        assert_eq!(take_started_jobs(&mut agent), [2], "{next}");
+    }
+}
+
+/// Guards against an order that was sent before the entry had any report of the server.
+#[test]
+fn a_task_of_an_entry_that_was_told_of_no_server_does_not_start() {
+    let (mut agent, link) = agent_of_labelled_server("b");
+    let order = Order {
+        echoed_timestamp: None,
+        starts: vec![task(2)],
+        ..order(2, at(30))
+    };
+    send_with_echo(&mut agent, link, 1, 8, 25);
+    let before = take_started_jobs(&mut agent);
+
+    agent.handle_order(link, order, at(30));
+
+    assert_eq!(before, [1]);
+    assert_eq!(take_ends(&mut agent), [(2, CLOSED)]);
+}
+
+/// Guards against orders that are declined without need: only another profile makes a report outdated.
+#[test]
+fn a_task_placed_by_an_earlier_report_of_the_same_profile_starts() {
+    let (mut agent, link) = agent_of_labelled_server("b");
+    replace_server(&mut agent, "i-3", "b");
+    agent.take_actions();
+
+    send_with_echo(&mut agent, link, 1, 8, 25);
+
+    assert_eq!(take_started_jobs(&mut agent), [1]);
+}
+
 /// Guards against entries that go on for up to 0.2 s by what a server no longer offers: a change of
 /// its labels alone waited for the next periodic report.
 #[test]
