fix(agent): decline waiting tasks when the server's profile changes

What callers could see: tasks ran on a backend server without the label that they require.

Cause: tasks that wait at the agent were compared with a changed server by service and size, which the order carries, and not by what the entry alone compares.

Change: when the service, the capacity or the labels change, all waiting tasks are declined, since each was placed by the profile before. An incarnation with the same profile keeps them.

--- a/crates/core/src/spool/agent/entry_messages.rs
+++ b/crates/core/src/spool/agent/entry_messages.rs
@@ -4,7 +4,7 @@
 use super::super::message::{
     DeclineReason, DispatchId, End, Kind, Order, Start, StartKinds, Timestamp,
 };
-use super::{Agent, ConnectionKey, Evidence, Phase, Progress, Run};
+use super::{Agent, ConnectionKey, Evidence, Phase, Profile, Progress, Run};
 use crate::time::{Monotonic, Now};
 
 impl Agent {
@@ -176,8 +176,26 @@
         is_ready && !is_out_of_service && !self.is_draining
     }
 
-    /// Declines the queued runs that may not start here any more, so that their entries can place them
-    /// elsewhere: all if the server is closed, otherwise those of another service or too large.
+    /// Declines the queued runs that may not start here any more after the server had the profile
+    /// `previous`, so that their entries can place them elsewhere: all if the profile has changed or
+    /// the server is closed, otherwise those of another service or too large.
+    pub(super) fn handle_server_change(&mut self, previous: Option<&Profile>, now: Now) {
+        let present = self.backend.as_ref().map(|b| b.announced.profile());
+        if present != previous {
+            for key in self.queued_runs() {
+                self.finish_run(
+                    key,
+                    End::NotStarted(DeclineReason::Closed),
+                    Evidence::ServerChanged,
+                    now,
+                );
+            }
+        }
+        self.decline_queued_that_cannot_run(now);
+    }
+
+    /// Declines the queued runs that the server can't run, as it is closed, of another service or too
+    /// small.
     pub(super) fn decline_queued_that_cannot_run(&mut self, now: Now) {
         for key in self.queued_runs() {
             if !self.can_run(&self.runs[key].start) {
--- a/crates/core/src/spool/agent/incarnation.rs
+++ b/crates/core/src/spool/agent/incarnation.rs
@@ -78,6 +78,7 @@
             .with("sequence", announcement.sequence)
             .with("born", announcement.started_at_ms);
         let before = backend.reported_state();
+        let profile_before = backend.announced.profile().clone();
         let clock = backend.clock_reading;
         let recorded = backend.announced.record(announcement, clock, now.mono);
         let after = backend.reported_state();
@@ -91,7 +92,7 @@
                 .with("ready", after.ready)
                 .with("cpu", after.capacity.cpu_millicores);
             self.log(line);
-            self.decline_queued_that_cannot_run(now);
+            self.handle_server_change(Some(&profile_before), now);
             self.schedule_load_reports(now.mono);
         }
         recorded
@@ -313,7 +314,11 @@
             .with("ready", announced.is_ready())
             .with("cpu", announced.profile().capacity.cpu_millicores);
         self.log(line);
-        if self.backend.is_some() {
+        let previous = self
+            .backend
+            .as_ref()
+            .map(|backend| backend.announced.profile().clone());
+        if previous.is_some() {
             self.finish_runs_of_previous_incarnation(listing, poll_sent_at, now);
             self.fence_off_previous_incarnation();
         }
@@ -336,7 +341,7 @@
             long_lease_until: has_kept_runs
                 .then(|| now.mono.plus(self.safety.longest_lease_duration())),
         });
-        self.decline_queued_that_cannot_run(now);
+        self.handle_server_change(previous.as_ref(), now);
         self.schedule_load_reports(now.mono);
     }
 
--- a/crates/core/tests/spool_server_change.rs
+++ b/crates/core/tests/spool_server_change.rs
@@ -1,6 +1,6 @@
 //! Which tasks an agent starts after its backend server has started again as another kind. Entries
 //! place tasks by the service, the capacity and the labels that the agent has reported, and an order
-//! can be on its way when they change.
+//! can be on its way, or wait at the agent, when they change.
 
 #[allow(dead_code, reason = "each test file uses a part of it")]
 #[path = "spool/agent_fixture.rs"]
@@ -107,6 +107,46 @@
     assert_eq!(take_started_jobs(&mut agent), [1]);
 }
 
+/// Fills the server and sends another task, which waits.
+fn queue_fourth_task(agent: &mut Agent, link: ConnectionKey) {
+    for job in 1..=4 {
+        send_with_echo(agent, link, job, 8, 10);
+    }
+    assert_eq!(take_started_jobs(agent), [1, 2, 3], "three tasks fit");
+}
+
+/// Guards against tasks on a server without the label that they require: they waited at the agent when
+/// the server started again as another kind (three of the four starts of the random play came
+/// that way).
+#[test]
+fn a_task_that_waits_does_not_start_on_an_incarnation_with_other_labels() {
+    for next in ["i-labelled", "i-3"] {
+        let (mut agent, link) = agent_of_labelled_server("b");
+        queue_fourth_task(&mut agent, link);
+
+        replace_server(&mut agent, next, "a");
+        agent.handle_tick(at(30));
+        let actions = agent.take_actions();
+
+        let declined = reports(&actions)
+            .flat_map(|report| &report.outcomes)
+            .any(|outcome| (outcome.ticket.0, outcome.end) == (4, CLOSED));
+        let is_start = |action: &Action| matches!(action, Action::Start { .. });
+        assert!(!actions.iter().any(is_start), "{next}");
+        assert!(declined, "{next}");
+    }
+}
+
+#[test]
+fn a_task_that_waits_starts_on_an_incarnation_of_the_same_profile() {
+    let (mut agent, link) = agent_of_labelled_server("b");
+    queue_fourth_task(&mut agent, link);
+
+    replace_server(&mut agent, "i-3", "b");
+
+    assert_eq!(take_started_jobs(&mut agent), [4]);
+}
+
 /// Guards against entries that go on for up to 0.2 s by what a server no longer offers: a change of
 /// its labels alone waited for the next periodic report.
 #[test]
