fix(agent): send a start only to the incarnation that it is meant for

Cause: a server that has started again under its id takes a start that names the id, and the agent, which had stood still, did not know of it yet. The client opened new connections to whatever process listens at the address.

Ruled out: a check for pauses of the agent (any threshold leaves shorter ones, and a restart between check and request); the fencing token and the lease end, which a new incarnation has not seen and shortens.

Change: a poll's answer tells the start of the process, and a connection ends with the process that accepted it. `web::Connection` notes which process has answered, and a start is sent only over one whose process is the known incarnation; otherwise a poll that changes nothing goes first, over an idle or a new connection. If another process answers, the start is not sent, the entry gets the task back, and nothing starts until the run lists tell who listens.

--- a/crates/agent/src/spool/driver.rs
+++ b/crates/agent/src/spool/driver.rs
@@ -13,7 +13,7 @@
 use ibisspool_kernel::clock::Clock;
 use ibisspool_kernel::metrics::Metrics;
 use ibisspool_kernel::spool as common;
-use ibisspool_platform::executor::{Executor, LongPollError};
+use ibisspool_platform::executor::{Executor, Incarnation, LongPollError};
 use slotmap::SecondaryMap;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -129,12 +129,14 @@
                 until,
                 token,
                 incarnation,
+                started_at_ms,
             } => {
                 let driver = Rc::clone(self);
                 spawn_local(async move {
+                    let target = Incarnation::new(&incarnation, started_at_ms);
                     let answer = driver
                         .executor
-                        .start(name, number, &spec, until, token, &incarnation)
+                        .start(name, number, &spec, until, token, target)
                         .await;
                     if answer == StartAnswer::Silent {
                         driver.record_unanswered_call();
--- a/crates/core/src/spool/agent.rs
+++ b/crates/core/src/spool/agent.rs
@@ -71,6 +71,8 @@
         token: u64,
         /// Incarnation of the server that the request is meant for.
         incarnation: std::sync::Arc<str>,
+        /// Start of that incarnation, which tells it from another one of the same name.
+        started_at_ms: u64,
     },
     /// Ask the backend server to stop a run; the answer goes to [`Agent::handle_stop_answer`].
     Stop {
--- a/crates/core/src/spool/agent/backend.rs
+++ b/crates/core/src/spool/agent/backend.rs
@@ -45,6 +45,8 @@
     Fenced,
     /// The task does not run and will not: the server refused it.
     Refused,
+    /// Another incarnation listens at the server's address, so the request was not sent.
+    OtherIncarnation,
     /// The connection was refused, so the request was not sent. Other tasks may still run.
     ConnectionRefused,
     /// No connection could be made, so the request was not sent. Other tasks may still run.
@@ -192,7 +194,7 @@
             self.allow_for_long_lease(now.mono);
             self.actions.push(Action::PollNow);
         }
-        if answer == StartAnswer::Silent {
+        if matches!(answer, StartAnswer::Silent | StartAnswer::OtherIncarnation) {
             self.record_unanswered_call(now.mono);
             self.actions.push(Action::PollNow);
         }
@@ -210,7 +212,7 @@
                 return;
             }
             StartAnswer::Fenced if has_newest_token => self.raise_fencing_token(),
-            StartAnswer::Fenced | StartAnswer::Refused => {}
+            StartAnswer::Fenced | StartAnswer::Refused | StartAnswer::OtherIncarnation => {}
             StartAnswer::ConnectionRefused => self.record_failed_call(true, now),
             StartAnswer::NotSent => self.record_failed_call(false, now),
             StartAnswer::Silent => {
@@ -228,12 +230,14 @@
         if answer == StartAnswer::Refused {
             self.record_failed_task(name, false, now);
         }
-        let evidence = match answer {
-            StartAnswer::ConnectionRefused | StartAnswer::NotSent => Evidence::NotConnected,
-            _ => Evidence::StartRefused(sent_at),
+        let (reason, evidence) = match answer {
+            StartAnswer::ConnectionRefused | StartAnswer::NotSent => {
+                (DeclineReason::Unreachable, Evidence::NotConnected)
+            }
+            StartAnswer::OtherIncarnation => (DeclineReason::Closed, Evidence::ServerChanged),
+            _ => (DeclineReason::Unreachable, Evidence::StartRefused(sent_at)),
         };
-        let end = End::NotStarted(DeclineReason::Unreachable);
-        self.finish_run(key, end, evidence, now);
+        self.finish_run(key, End::NotStarted(reason), evidence, now);
         self.send_due_reports(now.mono);
     }
 
--- a/crates/core/src/spool/agent/start_queue.rs
+++ b/crates/core/src/spool/agent/start_queue.rs
@@ -80,9 +80,11 @@
         let Some(lease_until_ms) = self.lease_end_ms(now.mono) else {
             return;
         };
-        let Some(incarnation) = self.backend.as_ref().map(|b| Arc::clone(&b.incarnation)) else {
+        let Some(backend) = self.backend.as_ref() else {
             return;
         };
+        let incarnation = Arc::clone(&backend.incarnation);
+        let started_at_ms = backend.started_at_ms;
         // Start numbers follow the wall clock, so that they rise across restarts of the agent too.
         self.last_start_number = now.wall.0.max(self.last_start_number + 1);
         let number = self.last_start_number;
@@ -118,6 +120,7 @@
             until: lease_until_ms,
             token,
             incarnation,
+            started_at_ms,
         });
     }
 }
--- a/crates/core/tests/spool_server_change.rs
+++ b/crates/core/tests/spool_server_change.rs
@@ -7,7 +7,7 @@
 mod agent_fixture;
 
 use agent_fixture::*;
-use ibisspool_core::spool::agent::{Action, Agent, Announcement, ConnectionKey};
+use ibisspool_core::spool::agent::{Action, Agent, Announcement, ConnectionKey, StartAnswer};
 use ibisspool_core::spool::message::{DeclineReason, End, Order, Timestamp};
 
 const CLOSED: End = End::NotStarted(DeclineReason::Closed);
@@ -164,3 +164,32 @@
         .collect();
     assert_eq!(labels, ["a"]);
 }
+
+/// Guards against a start that reaches an incarnation which the agent does not know yet: the answer
+/// tells that it was not sent, and nothing more starts until the server has told which one it is.
+#[test]
+fn nothing_starts_after_another_incarnation_was_found_until_the_server_is_asked() {
+    let (mut agent, link) = agent_of_labelled_server("b");
+    send_with_echo(&mut agent, link, 1, 8, 10);
+    let actions = agent.take_actions();
+    let start = actions.iter().find_map(|action| match action {
+        Action::Start {
+            key, started_at_ms, ..
+        } => Some((*key, *started_at_ms)),
+        _ => None,
+    });
+    let (key, started_at_ms) = start.expect("the task starts at once");
+
+    agent.handle_start_answer(key, StartAnswer::OtherIncarnation, at(11));
+    let actions = agent.take_actions();
+    send_with_echo(&mut agent, link, 2, 8, 12);
+
+    let ends: Vec<_> = reports(&actions)
+        .flat_map(|report| &report.outcomes)
+        .map(|outcome| (outcome.ticket.0, outcome.end))
+        .collect();
+    assert_eq!(started_at_ms, BORN + 1);
+    assert_eq!(ends, [(1, CLOSED)]);
+    assert!(actions.contains(&Action::PollNow));
+    assert_eq!(take_started_jobs(&mut agent), Vec::<u64>::new());
+}
--- a/crates/kernel/src/web.rs
+++ b/crates/kernel/src/web.rs
@@ -5,7 +5,7 @@
 mod server;
 mod stream;
 
-pub use client::{Client, Error, Response};
+pub use client::{Client, Connection, Error, Response};
 pub use server::{
     Call, Limits, Options, Reply, RequestError, ShutdownSignal, ShutdownTrigger, serve,
     serve_until_shutdown, serve_with_options, serve_within, shutdown_pair, yield_to_connections,
