test(random): servers that start again as another kind, jobs with labels

The random search could not break ROUTE: no server had a label, a restart kept service and size, and no step required a label, followed another or limited its tasks on a server.

Change: `tasks_start_only_where_their_jobs_may_run` draws five servers of three kinds that are replaced every 0.15 to 0.5 s, under their name or a new one, most times while an entry or the server's agent is suspended for 0.05 to 1 s, and jobs of up to two steps. Each start is checked: service, label, limit of the step, order of the steps, beside the earlier invariants. A start on its way ends with the connection to its server; the earlier scenarios keep the harder case that it reaches the next one.

Two deliberate bugs, a forged echo and connections that outlast their servers, are found.

--- a/crates/core/tests/spool/callers.rs
+++ b/crates/core/tests/spool/callers.rs
@@ -6,7 +6,6 @@
 use ibisspool_core::spool::entry::{Answer, Refusal};
 use ibisspool_core::spool::job::{Id, Request, Resources, Step};
 use rand::Rng;
-use smallvec::smallvec;
 
 use super::{Event, MS, Mutant, World, queue};
 
@@ -53,19 +52,21 @@
         let request = Request {
             id: Id(job_spec.id),
             spec: Arc::from("work"),
-            steps: vec![Step {
-                task_count: job_spec.tasks,
-                needs: Resources {
-                    cpu_millicores: job_spec.cpu,
-                    memory_mb: 64,
-                    accelerators: 0,
-                },
-                estimate: Duration::from_micros(job_spec.declared_us),
-                depends_on: smallvec![],
-                label: None,
-                rack: None,
-                max_tasks_per_server: None,
-            }],
+            steps: (0..job_spec.steps)
+                .map(|number| Step {
+                    task_count: job_spec.tasks,
+                    needs: Resources {
+                        cpu_millicores: job_spec.cpu,
+                        memory_mb: 64,
+                        accelerators: 0,
+                    },
+                    estimate: Duration::from_micros(job_spec.declared_us),
+                    depends_on: number.checked_sub(1).into_iter().collect(),
+                    label: job_spec.label_of(number).map(Arc::from),
+                    rack: None,
+                    max_tasks_per_server: job_spec.spread_limit,
+                })
+                .collect(),
             timeout: Duration::from_micros(job_spec.budget_us),
         };
         let key = self.with_entry(index, |entry, now| {
--- a/crates/core/tests/spool/event.rs
+++ b/crates/core/tests/spool/event.rs
@@ -137,6 +137,7 @@
         lease_until: u64,
         token: u64,
         incarnation: Arc<str>,
+        started_at_ms: u64,
         /// When the agent sent the call, as a start may be executed seconds later.
         sent: u64,
     },
--- a/crates/core/tests/spool/faults.rs
+++ b/crates/core/tests/spool/faults.rs
@@ -13,7 +13,8 @@
 use rand::Rng;
 
 use super::{
-    Event, Fault, Foreign, MS, Message, Mutant, Process, World, catalogue, incarnation_started_at,
+    Event, Fault, Foreign, Kind, MS, Message, Mutant, Process, World, catalogue,
+    incarnation_started_at,
 };
 
 /// Time after which an agent closes the connection to a silent entry.
@@ -95,6 +96,9 @@
                 self.restart_server(index);
                 self.schedule_after(announced_after_us, Event::AnnounceOnce(index));
             }
+            Fault::ReplaceServer(index, kind, cpu_millicores, keeps_name) => {
+                self.replace_server(index, kind, cpu_millicores, keeps_name);
+            }
             Fault::ForeignAnnouncement(index, foreign) => {
                 self.announce_another_writer(index, foreign);
             }
@@ -140,11 +144,27 @@
         let executor = &self.executors[index];
         let (capacity, slowness) = (executor.capacity_cpu_millis, executor.run_time_factor);
         let rate = self.random.random_range(0.98..1.0);
+        self.record_done_tasks();
         self.executors[index] = Executor::new(capacity, rate, slowness, self.now_us.max(2));
         self.agents[index].last_announcement = 0;
         self.agents[index].announcements_heard = 0;
     }
 
+    /// Replaces a backend server by one of another kind.
+    fn replace_server(&mut self, index: usize, kind: Kind, cpu_millicores: u32, keeps_name: bool) {
+        self.restart_server(index);
+        self.kinds[index] = kind;
+        let executor = &mut self.executors[index];
+        executor.capacity_cpu_millis = cpu_millicores;
+        if !keeps_name {
+            self.incarnations[index] = incarnation_started_at(executor.started_us);
+        }
+        // The agent may be suspended, and then gets no announcement.
+        for delay in [0, 60, 150, 400, 900] {
+            self.schedule_after(delay * MS, Event::AnnounceOnce(index));
+        }
+    }
+
     /// Delivers an announcement that is not the server's own.
     fn announce_another_writer(&mut self, index: usize, foreign: Foreign) {
         let own = self.own_announcement(index);
--- a/crates/core/tests/spool/scenario.rs
+++ b/crates/core/tests/spool/scenario.rs
@@ -45,6 +45,11 @@
     pub entries: usize,
     /// Capacity in thousandths of a core and slowdown of each backend server.
     pub executors: Vec<(u32, f64)>,
+    /// First kind of each backend server, the default one if there are fewer.
+    pub kinds: Vec<Kind>,
+    /// Whether a start that is on its way when a backend server ends can reach the next one under the
+    /// same name. Otherwise the connection that carries it ends with the server.
+    pub connections_outlast_servers: bool,
     pub mutant: Option<Mutant>,
     /// Share of calls to backend servers that are executed seconds late.
     pub late_call_share: f64,
@@ -85,6 +90,25 @@
     pub end_us: u64,
 }
 
+/// What a backend server offers besides its capacity.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Kind {
+    pub service: &'static str,
+    pub label: Option<&'static str>,
+}
+
+impl Default for Kind {
+    fn default() -> Self {
+        Self {
+            service: SERVICE,
+            label: None,
+        }
+    }
+}
+
+/// Service of all queues.
+pub const SERVICE: &str = "desk";
+
 /// Tasks that take far longer than the others of their job, on each server.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct LongTasks {
@@ -116,7 +140,14 @@
 pub struct Job {
     pub id: u64,
     pub queue: usize,
+    /// Number of tasks of each step.
     pub tasks: u32,
+    /// Number of steps. Each starts after the one before has completed.
+    pub steps: u16,
+    /// Label that a backend server needs for the first step, and for the later ones.
+    pub labels: [Option<&'static str>; 2],
+    /// Most tasks of one step on a backend server.
+    pub spread_limit: Option<u32>,
     /// Thousandths of a core per task.
     pub cpu: u32,
     /// Actual run time of each task on a server of typical speed.
@@ -132,6 +163,11 @@
 }
 
 impl Job {
+    /// Returns the label that a backend server needs for a step.
+    pub fn label_of(&self, step: u16) -> Option<&'static str> {
+        self.labels[usize::from(step > 0)]
+    }
+
     /// Returns whether the job can succeed and its caller waits until its deadline. Only such jobs
     /// count towards the service level.
     pub fn is_servable(&self) -> bool {
@@ -179,6 +215,9 @@
     /// Replaces a backend server by a new incarnation under the name that it had. It announces
     /// itself after this time.
     RestartServerUnderItsName(usize, u64),
+    /// Replaces a backend server by one of another kind and of this capacity, under the name that it
+    /// had or under a new one.
+    ReplaceServer(usize, Kind, u32, bool),
     /// An agent gets an announcement of another writer.
     ForeignAnnouncement(usize, Foreign),
     /// A backend server crashes, refuses connections for a time, then starts again.
--- a/crates/core/tests/spool/servers.rs
+++ b/crates/core/tests/spool/servers.rs
@@ -10,7 +10,8 @@
 use rand::Rng;
 
 use super::{
-    Call, DRAIN_GRACE_US, Event, MS, Message, Mutant, Process, QUEUES, Renewal, StretchedRun, World,
+    Call, DRAIN_GRACE_US, Event, MS, Message, Mutant, Process, QUEUES, Renewal, SERVICE,
+    StretchedRun, World,
 };
 
 /// Time after which a task fails on a backend server with `Fault::FailTasks`.
@@ -200,13 +201,22 @@
                 lease_until,
                 token,
                 incarnation,
+                started_at_ms,
                 sent,
             } => {
-                let answer = if incarnation == self.incarnations[index] {
-                    self.start_task(index, name, number, lease_until, token, sent)
-                } else {
-                    StartAnswer::Refused
-                };
+                let started_us = self.executors[index].started_us;
+                let answer =
+                    if started_at_ms != started_us && !self.scenario.connections_outlast_servers {
+                        if sent < started_us {
+                            StartAnswer::Silent
+                        } else {
+                            StartAnswer::OtherIncarnation
+                        }
+                    } else if incarnation == self.incarnations[index] {
+                        self.start_task(index, name, number, lease_until, token, sent)
+                    } else {
+                        StartAnswer::Refused
+                    };
                 Message::StartAnswer(key, answer)
             }
             Call::Stop {
@@ -415,9 +425,49 @@
         }
     }
 
-    /// Starts a task on a backend server and checks the invariants: the server isn't over its
-    /// capacity, a draining server gets no task after the grace time, and no task runs twice at a
-    /// time.
+    /// Notes which tasks have ended as done.
+    pub(super) fn record_done_tasks(&mut self) {
+        for executor in &mut self.executors {
+            executor.end_due_tasks(self.now_us);
+            self.done_tasks.extend(executor.done_tasks.drain(..));
+        }
+    }
+
+    /// Checks that a task may start on a backend server: the server has the service and the label
+    /// that the task needs, it has room within the limit of the step, and the steps before are done.
+    fn check_start(&mut self, index: usize, name: TaskName) {
+        self.record_done_tasks();
+        let job = self.callers[self.caller_by_job_id[&name.job.0]].job;
+        let kind = self.kinds[index];
+        let label = job.label_of(name.step);
+        if kind.service != SERVICE || (label.is_some() && label != kind.label) {
+            self.record_violation(&format!(
+                "{name} requires {label:?} of {SERVICE} and starts on server {index}, {kind:?}"
+            ));
+        }
+        let is_of_step =
+            |work: &&RunningTask| (work.name.job, work.name.step) == (name.job, name.step);
+        let on_server = self.executors[index].running.values();
+        let count = on_server.filter(is_of_step).count();
+        if job.spread_limit.is_some_and(|limit| count > limit as usize) {
+            self.record_violation(&format!("{count} tasks of the step of {name} on {index}"));
+        }
+        let is_done = |index| {
+            let step = name.step.saturating_sub(1);
+            self.done_tasks.contains(&TaskName {
+                step,
+                index,
+                ..name
+            })
+        };
+        if name.step > 0 && !(0..job.tasks).all(is_done) {
+            self.record_violation(&format!("{name} starts before the step that it follows"));
+        }
+    }
+
+    /// Starts a task on a backend server and checks the invariants: those of [`Self::check_start`],
+    /// the server isn't over its capacity, a draining server gets no task after the grace time, and no
+    /// task runs twice at a time.
     pub(super) fn start_task(
         &mut self,
         index: usize,
@@ -454,6 +504,7 @@
             return answer;
         }
         self.stretch_runs(index);
+        self.check_start(index, name);
         let executor = &mut self.executors[index];
         self.result.starts += 1;
         let run = (self.now_us, self.now_us + duration_us, job_spec.cpu);
--- a/crates/core/tests/spool/world.rs
+++ b/crates/core/tests/spool/world.rs
@@ -9,14 +9,14 @@
 mod servers;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use ibisspool_core::spool::agent::{self, Agent, Announcement, Profile};
 use ibisspool_core::spool::catalogue::{Limits, Queue, Snapshot};
 use ibisspool_core::spool::entry::{self, Entry, JobKey};
-use ibisspool_core::spool::job::{Id, Resources};
+use ibisspool_core::spool::job::{Id, Resources, TaskName};
 use ibisspool_core::spool::log_line::LogLine;
 use ibisspool_core::spool::message::{QueueLoad, Timestamp};
 use ibisspool_core::spool::safety::Safety;
@@ -28,7 +28,7 @@
 
 pub use event::Process;
 use event::{Call, Event, Message};
-pub use scenario::{Fault, Foreign, Job, LongTasks, Mutant, RunResult, Scenario};
+pub use scenario::{Fault, Foreign, Job, Kind, LongTasks, Mutant, RunResult, SERVICE, Scenario};
 
 /// Interval at which an entry tells the others how much work waits in its queue.
 const GOSSIP_INTERVAL_US: u64 = 400 * MS;
@@ -150,6 +150,10 @@
     executors: Vec<Executor>,
     /// Name of the incarnation of each backend server.
     incarnations: Vec<Arc<str>>,
+    /// Kind of each backend server.
+    kinds: Vec<Kind>,
+    /// Tasks that have ended as done on any backend server.
+    done_tasks: HashSet<TaskName>,
     connections: BTreeMap<u64, Connection>,
     last_connection: u64,
     /// Time of the last delivery by connection and direction, so that messages stay in order.
@@ -187,7 +191,7 @@
         name: Arc::from(name),
         host: "jobs.example".to_owned(),
         path_prefix: format!("/{name}/"),
-        service: Arc::from("desk"),
+        service: Arc::from(SERVICE),
         priority,
         max_failed_runs: attempts,
         timeout: Duration::from_millis(1_500),
@@ -236,6 +240,8 @@
                 executor
             })
             .collect();
+        let mut kinds = scenario.kinds.clone();
+        kinds.resize(scenario.executors.len(), Kind::default());
         let mut world = Self {
             random,
             now_us: 0,
@@ -246,6 +252,8 @@
             agents: Vec::new(),
             executors,
             incarnations,
+            kinds,
+            done_tasks: HashSet::new(),
             connections: BTreeMap::new(),
             last_connection: 0,
             last_delivery_at: BTreeMap::new(),
@@ -596,13 +604,17 @@
             clock_ms: self.executors[index].clock_ms(self.now_us),
             sequence: agent.last_announcement,
             profile: Profile {
-                service: Arc::from("desk"),
+                service: Arc::from(self.kinds[index].service),
                 capacity: Resources {
                     cpu_millicores: self.executors[index].capacity_cpu_millis,
                     memory_mb: 1 << 15,
                     accelerators: 0,
                 },
-                labels: Vec::new(),
+                labels: self.kinds[index]
+                    .label
+                    .map(str::to_owned)
+                    .into_iter()
+                    .collect(),
             },
             ready: agent.ready,
         }
@@ -705,6 +717,7 @@
                     until,
                     token,
                     incarnation,
+                    started_at_ms,
                     ..
                 } => {
                     let sent = self.now_us;
@@ -715,6 +728,7 @@
                         lease_until: until,
                         token,
                         incarnation,
+                        started_at_ms,
                         sent,
                     };
                     self.call_server(index, call);
--- a/crates/core/tests/spool_random.rs
+++ b/crates/core/tests/spool_random.rs
@@ -1,6 +1,7 @@
 //! Random simulation runs under faults. The checked invariants: no task runs twice at the same
-//! time, no server gets more tasks than its capacity holds, and a job of which every attempt was
-//! refused has not run.
+//! time, no server gets more tasks than its capacity holds, a task starts only on a server of its
+//! service and with its label, within the limit of its step and after the steps that it follows, and
+//! a job of which every attempt was refused has not run.
 //!
 //! `IBISSPOOL_SEEDS` sets the number of seeds and `IBISSPOOL_FIRST_SEED` the first one.
 
@@ -16,7 +17,9 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use world::scenario::has_distinct_ids;
-use world::{Fault, Foreign, Job, LongTasks, MS, Mutant, RunResult, Scenario, World};
+use world::{
+    Fault, Foreign, Job, Kind, LongTasks, MS, Mutant, RunResult, SERVICE, Scenario, World,
+};
 
 /// Number of seeds if `IBISSPOOL_SEEDS` isn't set.
 const DEFAULT_SEEDS: u64 = 1_500;
@@ -206,6 +209,9 @@
         id,
         queue: random.random_range(0..3),
         tasks: random.random_range(1..4),
+        steps: 1,
+        labels: [None; 2],
+        spread_limit: None,
         cpu: 1_000,
         work_us,
         declared_us: work_us * random.random_range(60..140) / 100,
@@ -279,6 +285,8 @@
         seed,
         entries,
         executors,
+        kinds: Vec::new(),
+        connections_outlast_servers: true,
         mutant,
         late_call_share,
         lost_answer_share,
@@ -316,14 +324,87 @@
     }
 }
 
+/// Kinds of backend servers that take each other's place.
+const KINDS: [Kind; 3] = [
+    Kind {
+        service: SERVICE,
+        label: Some("a"),
+    },
+    Kind {
+        service: SERVICE,
+        label: Some("b"),
+    },
+    Kind {
+        service: "archive",
+        label: Some("a"),
+    },
+];
+
+/// Capacities of backend servers that take each other's place, in thousandths of a core.
+const CAPACITIES: [u32; 3] = [2_000, 4_000, 8_000];
+
+/// Draws backend servers that start again and again as another kind, while the processes of entries
+/// and agents are suspended for up to a second, and jobs whose steps require different labels.
+fn draw_changing_servers(seed: u64) -> Scenario {
+    let mut random = SmallRng::seed_from_u64(seed.rotate_left(32) ^ seed);
+    let (entries, servers) = (3, 5);
+    let mut faults = Vec::new();
+    let mut at = 600 * MS;
+    while at < 6_000 * MS {
+        at += random.random_range(150..500) * MS;
+        let server = random.random_range(0..servers);
+        let kind = KINDS[random.random_range(0..KINDS.len())];
+        let capacity = CAPACITIES[random.random_range(0..CAPACITIES.len())];
+        let keeps_name = random.random_bool(0.5);
+        let replacement = Fault::ReplaceServer(server, kind, capacity, keeps_name);
+        faults.push((at, replacement));
+        if random.random_bool(0.8) {
+            let length = random.random_range(50..1_000) * MS;
+            let lead = random.random_range(0..length.min(400 * MS));
+            let pause = if random.random_bool(0.5) {
+                Fault::PauseEntry(random.random_range(0..entries), length)
+            } else {
+                Fault::PauseAgent(server, length)
+            };
+            faults.push((at - lead, pause));
+        }
+        if random.random_bool(0.1) {
+            faults.push((at, draw_fault(&mut random, entries, servers)));
+        }
+    }
+    let jobs = (0..80)
+        .map(|index| {
+            let label =
+                |random: &mut SmallRng| [Some("a"), Some("b"), None][random.random_range(0..3)];
+            let job = Job {
+                work_us: [20, 60, 200][random.random_range(0..3)] * MS,
+                steps: random.random_range(1..3),
+                tasks: random.random_range(1..9),
+                labels: [label(&mut random), label(&mut random)],
+                spread_limit: [None, Some(1), Some(3)][random.random_range(0..3)],
+                ..draw_job(&mut random, seed * 1_000 + index)
+            };
+            (random.random_range(500..6_000) * MS, job)
+        })
+        .collect();
+    Scenario {
+        entries,
+        executors: vec![(CAPACITIES[1], 1.0); servers],
+        kinds: KINDS.to_vec(),
+        connections_outlast_servers: false,
+        late_call_share: 0.01,
+        faults,
+        jobs,
+        ..draw_scenario(seed, None)
+    }
+}
+
 /// Runs the scenarios of `count` seeds from `first` on in several threads. With `stop_early`, no
 /// new run starts after one that violates an invariant.
-fn run_seeds(
-    first: u64,
-    count: u64,
-    mutant: Option<Mutant>,
-    stop_early: bool,
-) -> Vec<(u64, RunResult)> {
+fn run_seeds<F>(first: u64, count: u64, stop_early: bool, draw: F) -> Vec<(u64, RunResult)>
+where
+    F: Fn(u64) -> Scenario + Sync,
+{
     let next = AtomicU64::new(first);
     let results = Mutex::new(Vec::new());
     std::thread::scope(|scope| {
@@ -334,7 +415,7 @@
                     if seed >= first + count {
                         return;
                     }
-                    let result = World::new(draw_scenario(seed, mutant)).run();
+                    let result = World::new(draw(seed)).run();
                     let violating = !result.violations.is_empty();
                     results
                         .lock()
@@ -355,7 +436,7 @@
     let first = env_number("IBISSPOOL_FIRST_SEED", 1);
     let count = env_number("IBISSPOOL_SEEDS", DEFAULT_SEEDS);
 
-    let results = run_seeds(first, count, None, false);
+    let results = run_seeds(first, count, false, |seed| draw_scenario(seed, None));
 
     let sum = |of: fn(&RunResult) -> u64| {
         results
@@ -409,10 +490,75 @@
     }
 }
 
+/// Returns the first violations of the runs that have any.
+fn violations(results: &[(u64, RunResult)]) -> Vec<(u64, &str)> {
+    results
+        .iter()
+        .filter_map(|(seed, result)| Some((*seed, result.violations.first()?.as_str())))
+        .collect()
+}
+
+/// Guards against tasks that start where their job may not run: on a server that started again as
+/// another kind, while an entry or its agent was suspended.
+#[test]
+fn tasks_start_only_where_their_jobs_may_run() {
+    let first = env_number("IBISSPOOL_FIRST_SEED", 1);
+    let count = env_number("IBISSPOOL_SEEDS", DEFAULT_SEEDS) / 5;
+
+    let results = run_seeds(first, count, false, draw_changing_servers);
+
+    let sum = |of: fn(&RunResult) -> u64| results.iter().map(|(_seed, r)| of(r)).sum::<u64>();
+    let (starts, completed) = (sum(|r| r.starts), sum(|r| r.completed));
+    println!("seeds {first} and on, {count}: {starts} starts, {completed} jobs complete");
+    let violating = violations(&results);
+    assert!(
+        violating.is_empty(),
+        "{} seeds violate invariants: {:#?}",
+        violating.len(),
+        &violating[..violating.len().min(8)]
+    );
+    assert!(
+        completed > count * 40,
+        "too few jobs complete for the test to be meaningful"
+    );
+}
+
 fn is_detected(mutant: Mutant) -> bool {
-    run_seeds(1, MUTANT_SEEDS, Some(mutant), true)
+    run_seeds(1, MUTANT_SEEDS, true, |seed| {
+        draw_scenario(seed, Some(mutant))
+    })
+    .iter()
+    .any(|(_seed, result)| !result.violations.is_empty())
+}
+
+/// Returns whether some run with servers that change their kinds starts a task on a wrong one, after
+/// `change` was applied to its scenario.
+fn starts_on_wrong_servers<F>(change: F) -> bool
+where
+    F: Fn(&mut Scenario) + Sync,
+{
+    let results = run_seeds(1, MUTANT_SEEDS, true, |seed| {
+        let mut scenario = draw_changing_servers(seed);
+        change(&mut scenario);
+        scenario
+    });
+    violations(&results)
         .iter()
-        .any(|(_seed, result)| !result.violations.is_empty())
+        .any(|(_seed, text)| text.contains("requires"))
+}
+
+#[test]
+fn orders_placed_by_an_outdated_report_are_detected() {
+    assert!(starts_on_wrong_servers(|scenario| {
+        scenario.mutant = Some(Mutant::ForgedEcho);
+    }));
+}
+
+#[test]
+fn starts_that_reach_the_next_incarnation_are_detected() {
+    assert!(starts_on_wrong_servers(|scenario| {
+        scenario.connections_outlast_servers = true;
+    }));
 }
 
 #[test]
@@ -460,7 +606,9 @@
     let first = env_number("IBISSPOOL_FIRST_SEED", 1);
     let count = env_number("IBISSPOOL_SEEDS", DEFAULT_SEEDS);
 
-    let results = run_seeds(first, count, Some(Mutant::DropStopCalls), false);
+    let results = run_seeds(first, count, false, |seed| {
+        draw_scenario(seed, Some(Mutant::DropStopCalls))
+    });
 
     let runs_twice =
         |result: &RunResult| result.violations.iter().any(|text| text.contains("twice"));
--- a/crates/standin/src/executor.rs
+++ b/crates/standin/src/executor.rs
@@ -51,6 +51,8 @@
     /// Tasks that ended before their work was done, and the work that was lost with each, in
     /// thousandths of a core times microseconds.
     pub lost_work: Vec<(TaskName, u64)>,
+    /// Tasks that have ended as done.
+    pub done_tasks: Vec<TaskName>,
     unacknowledged_ends: Vec<Ended>,
     last_sequence: u64,
     lease_until_ms: u64,
@@ -69,6 +71,7 @@
             longest_lease_ms: DEFAULT_LONGEST_LEASE_MS,
             running: BTreeMap::new(),
             lost_work: Vec::new(),
+            done_tasks: Vec::new(),
             unacknowledged_ends: Vec::new(),
             last_sequence: 0,
             lease_until_ms: 0,
@@ -87,6 +90,9 @@
         if let Some(work) = self.running.remove(&number) {
             self.last_sequence += 1;
             self.highest_refused_start.insert(work.name, number);
+            if end == End::Done {
+                self.done_tasks.push(work.name);
+            }
             self.unacknowledged_ends.push(Ended {
                 sequence: self.last_sequence,
                 start_number: number,
