fix(agent): a run that an earlier incarnation may have run ends as lost

What callers could see: a job was refused with 503 although one of its tasks had run.

Cause: a start runs, its answer is lost, and its server starts again under its name. The run is kept, since the start may still arrive, with the end `Lost` if it has to be stopped. The stop for want of an answer then put `NotStarted` in its place, so that the entry took the task for one that never ran.

Change: a kept run remembers that an incarnation that has ended may have run it, and ends as lost however it is stopped.

--- a/crates/core/src/spool/agent/entry_messages.rs
+++ b/crates/core/src/spool/agent/entry_messages.rs
@@ -146,6 +146,7 @@
             progress: Progress::new(now.mono),
             stop_sent_at: None,
             stop_answered_at: None,
+            may_have_run: false,
             end_if_stopped: End::Lost,
         });
         if let Some(neighbours) = &mut self.neighbours {
--- a/crates/core/src/spool/agent/incarnation.rs
+++ b/crates/core/src/spool/agent/incarnation.rs
@@ -375,6 +375,7 @@
             // already have run the task and forgotten its end.
             run.stop_answered_at = None;
             run.stop_sent_at = None;
+            run.may_have_run = true;
             run.end_if_stopped = End::Lost;
             let line = LogLine::new("A new incarnation may run a task that was sent before.")
                 .with("job", run.start.name)
--- a/crates/core/src/spool/agent/run.rs
+++ b/crates/core/src/spool/agent/run.rs
@@ -67,6 +67,9 @@
     /// When the backend server first answered a stop request. From then on it refuses a start of
     /// this run.
     pub stop_answered_at: Option<Monotonic>,
+    /// Whether an incarnation that has ended since may have run the task. Then lists without the run do
+    /// not show that it never started.
+    pub may_have_run: bool,
     /// End to report to the entry once the stop is confirmed by lists that never showed the run.
     pub end_if_stopped: End,
 }
@@ -119,7 +122,7 @@
             }
             Phase::Stopping => {}
             Phase::Starting | Phase::Unconfirmed | Phase::Running => {
-                run.end_if_stopped = end;
+                run.end_if_stopped = if run.may_have_run { End::Lost } else { end };
                 run.phase = Phase::Stopping;
                 run.phase_since = now.mono;
                 let line = LogLine::new("Stopping a task.")
--- a/crates/core/tests/spool_incarnation.rs
+++ b/crates/core/tests/spool_incarnation.rs
@@ -543,6 +543,24 @@
     assert_eq!(take_ends(&mut agent), []);
 }
 
+/// Guards against jobs that are refused although a task has run: the answer to its start was lost, and the
+/// server started again under its name (random search, seeds 338175 and, with servers that change,
+/// 300670).
+#[test]
+fn an_unanswered_start_that_an_earlier_incarnation_may_have_run_counts_as_lost() {
+    let (mut agent, link) = connected_agent();
+    let (key, number) = start(&mut agent, link, 1, at(10));
+    agent.handle_announcement(announcement(NAME, REBORN, 1), at(20));
+    agent.handle_listing(&empty_listing(NAME, REBORN, 2), at(21).mono, at(22));
+
+    agent.handle_start_answer(key, StartAnswer::Silent, at(50));
+    agent.handle_listing(&empty_listing(NAME, REBORN, 40), at(60).mono, at(61));
+    agent.handle_stop_answer(number, agent.fencing_token(), at(62));
+    agent.handle_listing(&empty_listing(NAME, REBORN, 44), at(63).mono, at(64));
+
+    assert_eq!(take_ends(&mut agent), [(1, End::Lost)]);
+}
+
 /// Guards against a server that gets the tasks of another service, or larger ones than it can hold: they
 /// were queued for the incarnation before.
 #[test]
--- a/crates/core/tests/spool_random.rs
+++ b/crates/core/tests/spool_random.rs
@@ -474,13 +474,18 @@
 /// requested before a run was known, at the same reading of a coarse clock, and its answer made an
 /// agent take the run for lost. 100565: two false announcements replaced what a server had repeated, as
 /// one of its own was lost. 113715 and 120650: a false claim replaced the server's own and was refuted with
-/// it.
-const REGRESSION_SEEDS: [u64; 5] = [17_727, 10, 100_565, 113_715, 120_650];
+/// it. 338175: a run whose start got no answer before its server started again counted as not started.
+const REGRESSION_SEEDS: [u64; 6] = [17_727, 10, 100_565, 113_715, 120_650, 338_175];
+
+/// Seeds with servers that change that once violated an invariant, in the same way as 338175.
+const CHANGING_REGRESSION_SEEDS: [u64; 5] = [300_670, 303_574, 309_313, 310_128, 311_100];
 
 #[test]
 fn seeds_that_once_violated_an_invariant_pass() {
-    for seed in REGRESSION_SEEDS {
-        let result = World::new(draw_scenario(seed, None)).run();
+    let usual = REGRESSION_SEEDS.map(|seed| (seed, draw_scenario(seed, None)));
+    let changing = CHANGING_REGRESSION_SEEDS.map(|seed| (seed, draw_changing_servers(seed)));
+    for (seed, scenario) in usual.into_iter().chain(changing) {
+        let result = World::new(scenario).run();
 
         assert!(
             result.violations.is_empty(),
