--- a/crates/core/tests/spool_server_change.rs
+++ b/crates/core/tests/spool_server_change.rs
@@ -116,8 +116,7 @@
 }
 
 /// Guards against tasks on a server without the label that they require: they waited at the agent when
-/// the server started again as another kind (three of the four starts of the random play came
-/// that way).
+/// the server started again as another kind.
 #[test]
 fn a_task_that_waits_does_not_start_on_an_incarnation_with_other_labels() {
     for next in ["i-labelled", "i-3"] {
